Thin path on the users' platform: forwarder, placement, directory, store watch

Cause: nothing of the gateway could be reached on the users' machines; the product's own edge speaks other protocols and keeps its configuration in a log of notes.

Netty's HTTP codec is the nearest kin that is small enough.

No test of its own yet.

--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
@@ -0,0 +1,55 @@
+package org.buckthornwheel.decision.attempt
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.ServiceName
+import kotlin.time.Duration
+
+/**
+ * Bounds the repeats that all hosts together send to a service within a sliding window.
+ *
+ * Each host keeps to its own part: a share of its own requests in the window, and an even part of the fixed
+ * allowance. Hosts that are not counted, because membership is unsure, are covered by [safety].
+ *
+ * @param ratio repeats permitted for each request.
+ * @param allowance repeats permitted in a window besides, over all hosts.
+ * @param safety share of both that is used, from 0 to 1.
+ */
+public class WindowedRetryBudget(
+    private val ratio: Double,
+    private val allowance: Double,
+    private val window: Duration,
+    private val safety: Double,
+) {
+    private class Account {
+        val requests = ArrayDeque<MonotonicInstant>()
+        val repeats = ArrayDeque<MonotonicInstant>()
+    }
+
+    private val lock = Any()
+    private val accounts = HashMap<ServiceName, Account>()
+
+    /** Counts a caller's request for [service]. */
+    public fun request(service: ServiceName, now: MonotonicInstant): Unit = synchronized(lock) {
+        account(service, now).requests.addLast(now)
+    }
+
+    /** Takes one repeat for [service], when [hosts] hosts share the budget; false if none is left. */
+    public fun spend(service: ServiceName, hosts: Int, now: MonotonicInstant): Boolean = synchronized(lock) {
+        val account = account(service, now)
+        val permitted = safety * (ratio * account.requests.size + allowance / maxOf(1, hosts))
+        if (account.repeats.size + 1 > permitted) return false
+        account.repeats.addLast(now)
+        true
+    }
+
+    private fun account(service: ServiceName, now: MonotonicInstant): Account {
+        val account = accounts.getOrPut(service) { Account() }
+        discardOld(account.requests, now)
+        discardOld(account.repeats, now)
+        return account
+    }
+
+    private fun discardOld(times: ArrayDeque<MonotonicInstant>, now: MonotonicInstant) {
+        while (times.isNotEmpty() && now - times.first() > window) times.removeFirst()
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
@@ -0,0 +1,30 @@
+package org.buckthornwheel.decision.placement
+
+import org.buckthornwheel.decision.replica.ReplicaOutlook
+
+/**
+ * Predicts when a replica's answer begins.
+ *
+ * The figures of engines come from the users' sheets: prompt tokens read in a millisecond, time to the first token of
+ * an idle engine. Times in milliseconds.
+ */
+public data class CostModel(
+    public val prefillTokensPerMillisecond: Double = 112.0,
+    public val firstTokenMilliseconds: Double = 31.0,
+    public val defaultServiceMilliseconds: Double = 300.0,
+) {
+    /** The time until an answer begins at the replica of [outlook], with [missingTokens] of the prompt to be read. */
+    internal fun beginMilliseconds(outlook: ReplicaOutlook, missingTokens: Int): Double {
+        val service = outlook.averageMilliseconds(defaultServiceMilliseconds)
+        val slots = maxOf(1, outlook.replica.slots)
+        val excess = maxOf(0, outlook.load.requests + 1 - slots)
+        val wait = excess * service / slots
+        if (outlook.tokenCapacity <= 0) return (service + wait) * maxOf(1.0, outlook.slowness)
+        val prefill = (outlook.load.prefillTokens + missingTokens) / prefillTokensPerMillisecond
+        return (firstTokenMilliseconds + wait + prefill) * maxOf(1.0, outlook.slowness)
+    }
+
+    /** The time from the request's arrival until a slot of the replica becomes free. */
+    internal fun slotWaitMilliseconds(outlook: ReplicaOutlook): Double =
+        outlook.averageMilliseconds(defaultServiceMilliseconds) / maxOf(1, outlook.replica.slots)
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -0,0 +1,125 @@
+/*
+ * Chooses the replica, or the region, for one request.
+ *
+ * Each candidate gets a predicted time until its answer begins: the way there, the wait for a slot, the tokens that
+ * are still to be read. Prompt parts that several requests share have a preferred replica in each region, by rendezvous
+ * hashing, so that hosts which do not talk to each other build up the same caches.
+ */
+
+package org.buckthornwheel.decision.placement
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.ReplicaOutlook
+import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.decision.routing.RendezvousHash
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Rules of placement for a host of [region].
+ *
+ * @property crossRegionMilliseconds time that a request loses on the way to another region and back.
+ */
+public class Placement(
+    private val region: RegionName,
+    private val replicas: ReplicaRegistry,
+    private val crossRegionMilliseconds: Double,
+    private val costs: CostModel = CostModel(),
+) {
+    private class Candidate(val outlook: ReplicaOutlook, val missing: Int, val begin: Double, val cost: Double)
+
+    /** The place for [request] at [now]; [reachable] are the other regions with a host that answers. */
+    public fun choose(
+        request: PlacementRequest,
+        reachable: Set<RegionName>,
+        now: MonotonicInstant,
+    ): PlacementDecision {
+        val usable = usable(request, reachable, now)
+        if (usable.isEmpty()) return PlacementDecision.NoReplica
+        val preferred = preferredReplicas(request, usable)
+        val best = usable
+            .filter { hasRoom(it, request) }
+            .map { candidate(it, request, isPreferred = it.replica.id.value in preferred) }
+            .minByOrNull { it.cost }
+            ?: return PlacementDecision.Full(usable.minOf { costs.slotWaitMilliseconds(it) }.milliseconds)
+        return decision(best)
+    }
+
+    private fun usable(
+        request: PlacementRequest,
+        reachable: Set<RegionName>,
+        now: MonotonicInstant,
+    ): List<ReplicaOutlook> {
+        val found = ArrayList<ReplicaOutlook>()
+        for (state in replicas.of(request.service)) {
+            val outlook = state.outlook(request.parts, now)
+            if (isPermitted(outlook, request, reachable)) found += outlook
+        }
+        return found.filterNot { it.isOut }.ifEmpty { lastResort(found) }
+    }
+
+    /** Replicas that rest after failures are better than none, as long as one of them answers now and then. */
+    private fun lastResort(resting: List<ReplicaOutlook>): List<ReplicaOutlook> =
+        if (resting.size > 1) emptyList() else resting
+
+    private fun isPermitted(outlook: ReplicaOutlook, request: PlacementRequest, reachable: Set<RegionName>): Boolean {
+        val replica = outlook.replica
+        if (replica.isDraining || replica.id in request.excluded || replica.zone in request.closedZones) return false
+        if (request.homeRegions.isNotEmpty() && replica.region !in request.homeRegions) return false
+        if (replica.region != region && (!request.mayForward || replica.region !in reachable)) return false
+        return !outlook.isCold || outlook.mayTakeColdRequest
+    }
+
+    private fun hasRoom(outlook: ReplicaOutlook, request: PlacementRequest): Boolean {
+        val places = outlook.replica.slots + (outlook.replica.slots * queueShare(request)).toInt()
+        if (outlook.load.requests >= places) return false
+        if (outlook.tokenCapacity <= 0) return true
+        val needed = request.promptTokens + request.outputTokens
+        return outlook.load.requests == 0 || outlook.load.tokens + needed <= outlook.tokenCapacity * MEMORY_SHARE
+    }
+
+    /** Urgent requests may use places that the others must leave free. */
+    private fun queueShare(request: PlacementRequest): Double = if (request.isUrgent) URGENT_QUEUE else USUAL_QUEUE
+
+    private fun candidate(outlook: ReplicaOutlook, request: PlacementRequest, isPreferred: Boolean): Candidate {
+        val known = if (isPreferred) maxOf(outlook.cachedTokens, sharedTokens(request)) else outlook.cachedTokens
+        val missing = maxOf(0, request.promptTokens - known)
+        val begin = costs.beginMilliseconds(outlook, missing)
+        val way = if (outlook.replica.region == region) 0.0 else crossRegionMilliseconds
+        val crowding = outlook.load.requests * CROWDING_MILLISECONDS / maxOf(1, outlook.replica.slots)
+        return Candidate(outlook, missing, begin + way, begin + way + crowding)
+    }
+
+    private fun sharedTokens(request: PlacementRequest): Int = request.parts.dropLast(1).sumOf { it.tokens }
+
+    /** The replica of each region that should keep the longest shared part. */
+    private fun preferredReplicas(request: PlacementRequest, usable: List<ReplicaOutlook>): Set<String> {
+        val shared = request.parts.dropLast(1).maxByOrNull { it.tokens } ?: return emptySet()
+        if (shared.tokens < LEAST_SHARED_TOKENS) return emptySet()
+        return usable.groupBy { it.replica.region }
+            .mapNotNull { (_, list) -> list.maxByOrNull { RendezvousHash.weight(shared.id, it.replica.id.value) } }
+            .mapTo(HashSet()) { it.replica.id.value }
+    }
+
+    private fun decision(best: Candidate): PlacementDecision {
+        val replica = best.outlook.replica
+        val predicted = best.begin.milliseconds
+        if (replica.region != region) return PlacementDecision.Forward(replica.region, predicted)
+        return PlacementDecision.Local(replica, best.missing, predicted)
+    }
+
+    private companion object {
+        /** Share of a replica's memory that requests may fill; the rest absorbs what other hosts send meanwhile. */
+        const val MEMORY_SHARE = 0.92
+
+        /** Requests that may wait at a replica, as a share of its slots. */
+        const val USUAL_QUEUE = 0.15
+        const val URGENT_QUEUE = 0.4
+
+        /** Slowing of a full batch against an empty one, by which equal replicas are told apart. */
+        const val CROWDING_MILLISECONDS = 60.0
+
+        /** Parts below this size are not worth a detour: they are read in about two milliseconds. */
+        const val LEAST_SHARED_TOKENS = 256
+    }
+}
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementDecision.kt
@@ -0,0 +1,24 @@
+package org.buckthornwheel.decision.placement
+
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.Replica
+import kotlin.time.Duration
+
+/** Where a request goes. */
+public sealed interface PlacementDecision {
+    /** To [replica] of the own region; its answer is expected to begin after [predicted]. */
+    public data class Local(
+        public val replica: Replica,
+        public val missingTokens: Int,
+        public val predicted: Duration,
+    ) : PlacementDecision
+
+    /** To a host of [region]. */
+    public data class Forward(public val region: RegionName, public val predicted: Duration) : PlacementDecision
+
+    /** Nowhere at present: each replica is full; a place is expected after [wait]. */
+    public data class Full(public val wait: Duration) : PlacementDecision
+
+    /** Nowhere: no permitted replica is usable. */
+    public data object NoReplica : PlacementDecision
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpCaller.kt
@@ -0,0 +1,150 @@
+/*
+ * Calls to services beside the request path, such as the platform's store.
+ */
+
+package org.buckthornwheel.forwarding.client
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.forwarding.listener.KeepAliveOptions
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+
+/** A call; [body] is JSON, or null for none. */
+public data class HttpCall(
+    public val method: String,
+    public val uri: String,
+    public val body: String? = null,
+    public val timeout: Duration,
+)
+
+/** What came of a call. */
+public sealed interface CallResult {
+    /** The service answered with [status]. */
+    public data class Answered(public val status: Int, public val body: String) : CallResult
+
+    /** No whole answer came from [peer]; the call may have been carried out unless [wasSent] is false. */
+    public data class Failed(public val step: String, public val peer: String, public val wasSent: Boolean) : CallResult
+}
+
+/** Calls [address] on [loop], on one kept connection for calls that do not overlap. */
+public class HttpCaller(private val loop: EventLoop, private val address: NetworkAddress) {
+    private var idle: Channel? = null
+
+    /** Makes [call] and hands its result to [done], on the event loop. */
+    public fun call(call: HttpCall, done: (CallResult) -> Unit): Unit = loop.execute { begin(Pending(call, done)) }
+
+    private inner class Pending(val call: HttpCall, private val done: (CallResult) -> Unit) {
+        var channel: Channel? = null
+        var wasSent = false
+        private var isOver = false
+        private val timer: ScheduledFuture<*> = loop.schedule(
+            { fail("no answer in time") },
+            call.timeout.inWholeMilliseconds,
+            TimeUnit.MILLISECONDS,
+        )
+
+        fun fail(step: String) {
+            if (isOver) return
+            isOver = true
+            timer.cancel(false)
+            channel?.close()
+            done(CallResult.Failed(step, address.toString(), wasSent))
+        }
+
+        fun answer(status: Int, body: String) {
+            if (isOver) return
+            isOver = true
+            timer.cancel(false)
+            done(CallResult.Answered(status, body))
+        }
+    }
+
+    private fun begin(pending: Pending) {
+        val kept = idle
+        idle = null
+        if (kept != null && kept.isActive) return send(kept, pending)
+        connect(pending)
+    }
+
+    private fun connect(pending: Pending) {
+        val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+                }
+            })
+        KeepAliveOptions.set { option, value -> bootstrap.option(option, value) }
+        bootstrap.connect(InetSocketAddress(address.host, address.port)).addListener(
+            ChannelFutureListener { future ->
+                if (future.isSuccess) send(future.channel(), pending) else pending.fail("connect")
+            },
+        )
+    }
+
+    private fun send(channel: Channel, pending: Pending) {
+        pending.channel = channel
+        pending.wasSent = true
+        channel.pipeline().addLast(Receiver(pending))
+        channel.writeAndFlush(request(pending.call))
+    }
+
+    private fun request(call: HttpCall): DefaultFullHttpRequest {
+        val body = call.body?.encodeToByteArray()
+        val content = if (body == null) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(body)
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.uri, content)
+        request.headers().set(HttpHeaderNames.HOST, address.toString())
+        if (body != null) request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+        if (call.method != "GET") request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        return request
+    }
+
+    private inner class Receiver(private val pending: Pending) : SimpleChannelInboundHandler<FullHttpResponse>() {
+        override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            val isReadable = response.decoderResult().isSuccess
+            context.pipeline().remove(this)
+            if (!isReadable) return pending.fail("unreadable answer")
+            val mayReuse = HttpUtil.isKeepAlive(response) && idle == null
+            if (mayReuse) idle = context.channel() else context.close()
+            pending.answer(response.status().code(), response.content().toString(Charsets.UTF_8))
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            pending.fail("connection closed")
+        }
+
+        @Deprecated("Netty's own signature")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            pending.fail(cause.toString())
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MILLISECONDS = 1_000
+
+        /** The store's pages hold about a megabyte. */
+        const val MAXIMUM_ANSWER_BYTES = 8_388_608
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -0,0 +1,304 @@
+/*
+ * One caller's request on its way: placed, sent, answered, sent once more where that is permitted, or rejected.
+ *
+ * All of it happens on the event loop of the caller's connection.
+ */
+
+package org.buckthornwheel.forwarding.exchange
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.util.concurrent.ScheduledFuture
+import kotlinx.serialization.json.put
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.overload.ReturnTime
+import org.buckthornwheel.decision.placement.PlacementDecision
+import org.buckthornwheel.decision.placement.PlacementRequest
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.forwarding.dialect.RequestFacts
+import org.buckthornwheel.forwarding.observability.LogPart
+import org.buckthornwheel.forwarding.target.TargetPool
+import java.util.concurrent.ThreadLocalRandom
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/** A request as it was read from the caller. */
+internal class ReceivedRequest(
+    val head: HttpRequest,
+    val body: ByteBuf,
+    val facts: RequestFacts,
+    val terms: RequestTerms,
+)
+
+internal class Exchange(
+    private val context: ForwardingContext,
+    private val pool: TargetPool,
+    private val loop: EventLoop,
+    private val request: ReceivedRequest,
+    private val sink: AnswerSink,
+) {
+    val terms: RequestTerms get() = request.terms
+    val facts: RequestFacts get() = request.facts
+
+    private val excluded = HashSet<ReplicaId>()
+    private val unreachableHosts = HashSet<String>()
+    private var attempt: Attempt? = null
+    private var attempts = 0
+    private var possibleRuns = 0
+    private var isDone = false
+    private var hasBegunStream = false
+    private var lastEventId: String? = null
+    private var endTimer: ScheduledFuture<*>? = null
+    private var placementTimer: ScheduledFuture<*>? = null
+
+    fun start() {
+        if (terms.mayForward) context.budget.request(terms.service, context.clock.now())
+        val rest = terms.end - context.clock.now() + END_SLACK
+        endTimer = loop.schedule(::onEnd, rest.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        place()
+    }
+
+    /** The caller has left: the work at the target is cancelled. */
+    fun cancel() {
+        if (isDone) return
+        finish(CALLER_LEFT, "caller left")
+        attempt?.cancel()
+    }
+
+    fun setReading(reads: Boolean) {
+        attempt?.setReading(reads)
+    }
+
+    private fun place() {
+        if (isDone) return
+        val now = context.clock.now()
+        if (terms.end <= now) return onEnd()
+        val decision = context.placement.choose(placementRequest(now), context.hosts.reachableRegions(now), now)
+        when (decision) {
+            is PlacementDecision.Local -> sendToReplica(decision, now)
+            is PlacementDecision.Forward -> forward(decision, now)
+            is PlacementDecision.Full -> waitOrReject(decision.wait, now)
+            PlacementDecision.NoReplica -> waitOrReject(NO_REPLICA_WAIT, now)
+        }
+    }
+
+    private fun placementRequest(now: MonotonicInstant): PlacementRequest = PlacementRequest(
+        service = terms.service,
+        promptTokens = facts.promptTokens,
+        outputTokens = facts.expectedOutputTokens ?: facts.outputTokens,
+        parts = facts.parts,
+        priority = terms.priority,
+        targetLatency = terms.targetLatency,
+        remaining = terms.end - now,
+        homeRegions = terms.homeRegions,
+        excluded = excluded,
+        closedZones = context.beliefs.closedZones,
+        mayForward = terms.mayForward,
+        isUrgent = terms.priority == 0,
+    )
+
+    /** A place that becomes free shortly is waited for; beyond that the caller is better off coming back. */
+    private fun waitOrReject(wait: Duration, now: MonotonicInstant) {
+        val held = now - terms.arrivedAt
+        if (held + WAIT_STEP > terms.targetLatency * HOLD_SHARE || hasBegunStream) return giveUp("no place", wait)
+        placementTimer = loop.schedule(::place, WAIT_STEP.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    private fun sendToReplica(decision: PlacementDecision.Local, now: MonotonicInstant) {
+        val state = context.replicas.find(decision.replica.id) ?: return place()
+        if (isRepeat() && !mayRepeat(now)) return giveUp("retry budget is spent", NO_REPLICA_WAIT)
+        val sent = ReplicaAttempt(context, this, state, decision, now)
+        attempt = sent
+        sent.start(pool, replicaHeaders(decision, now), request, lastEventId)
+    }
+
+    private fun replicaHeaders(decision: PlacementDecision.Local, now: MonotonicInstant): HttpHeaders =
+        RequestHeaders.forReplica(context, request, decision.replica.id, terms.end - now, lastEventId)
+
+    private fun forward(decision: PlacementDecision.Forward, now: MonotonicInstant) {
+        val host = context.hosts.ready(now)
+            .filter { it.region == decision.region && it.name.value !in unreachableHosts }
+            .randomOrNull()
+        if (host == null) return waitOrReject(NO_REPLICA_WAIT, now)
+        val envelope = PeerEnvelope.of(terms, terms.maximumAttempts - attempts, now)
+        context.meters.forwarded()
+        val sent = PeerAttempt(context, this, host, now)
+        attempt = sent
+        sent.start(pool, RequestHeaders.forPeer(request, envelope, lastEventId), request)
+    }
+
+    private val mayHaveRun: Boolean get() = possibleRuns > 0
+
+    private fun isRepeat(): Boolean = attempts > 0
+
+    private fun mayRepeat(now: MonotonicInstant): Boolean =
+        context.budget.spend(terms.service, context.hosts.sharers(now, region = null), now)
+
+    /** A request was written to a replica. */
+    fun onSent() {
+        attempts += 1
+        possibleRuns += 1
+    }
+
+    /** The target was not reached; nothing was sent. */
+    fun onNotSent(replica: ReplicaId?, peer: String?) {
+        replica?.let { excluded += it }
+        peer?.let { unreachableHosts += it }
+        attempt = null
+        place()
+    }
+
+    /** The target certainly did not run the request. */
+    fun onNotRun(replica: ReplicaId?, peer: String?, counts: Boolean, retryAfter: Duration?) {
+        replica?.let { excluded += it }
+        peer?.let { unreachableHosts += it }
+        attempt = null
+        possibleRuns -= 1
+        if (!counts) {
+            attempts = maxOf(0, attempts - 1)
+            return place()
+        }
+        if (peer != null) return giveUp("rejected by $peer", retryAfter ?: NO_REPLICA_WAIT)
+        if (attempts < terms.maximumAttempts) place() else giveUp("refused by replicas", REFUSED_WAIT)
+    }
+
+    /** The attempt failed and may have run; [status] is the gateway's answer unless it may be repeated. */
+    fun onFailed(replica: ReplicaId?, peer: String?, reason: String, status: HttpResponseStatus) {
+        replica?.let { excluded += it }
+        peer?.let { unreachableHosts += it }
+        attempt = null
+        if (mayBeRepeated()) return place()
+        if (hasBegunStream) return abort(reason)
+        reject(status, reason, retryAfter = null)
+    }
+
+    /** Whether the request may be sent to one more replica after a failure. */
+    fun mayBeRepeated(): Boolean = terms.isRepeatable && attempts < terms.maximumAttempts && !isDone
+
+    fun answer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
+        if (isDone) {
+            body.release()
+            return
+        }
+        finish(status.code(), "answered")
+        sink.answer(status, headers, body)
+    }
+
+    /** Whether this is the first attempt whose stream begins; a later one goes on without a head. */
+    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
+        if (isDone || hasBegunStream) return
+        hasBegunStream = true
+        sink.beginStream(status, headers)
+    }
+
+    /** Passes on an event unless the caller has it already. */
+    fun streamEvent(event: StreamEvent) {
+        if (isDone || isOld(event.id)) {
+            event.bytes.release()
+            return
+        }
+        event.id?.let { lastEventId = it }
+        sink.stream(event.bytes)
+    }
+
+    fun streamRest(rest: ByteBuf) {
+        if (isDone || !rest.isReadable) rest.release() else sink.stream(rest)
+    }
+
+    fun endStream(status: Int) {
+        if (isDone) return
+        finish(status, "streamed")
+        sink.endStream()
+    }
+
+    private fun isOld(id: String?): Boolean {
+        val last = lastEventId?.toLongOrNull() ?: return false
+        val number = id?.toLongOrNull() ?: return false
+        return number <= last
+    }
+
+    /** Without a place: a promise that the request was not run, if that is certain. */
+    private fun giveUp(reason: String, wait: Duration) {
+        if (hasBegunStream) return abort(reason)
+        if (mayHaveRun) return reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
+        val remaining = terms.end - context.clock.now()
+        val draw = ThreadLocalRandom.current().nextDouble()
+        val retryAfter = ReturnTime.after(wait, terms.targetLatency, remaining, draw)
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfter)
+    }
+
+    private fun onEnd() {
+        if (isDone) return
+        val running = attempt
+        if (hasBegunStream) {
+            abort("time is over")
+        } else {
+            val status = if (mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
+            reject(status, "time is over", retryAfter = null)
+        }
+        running?.cancel()
+    }
+
+    private fun abort(reason: String) {
+        if (isDone) return
+        finish(BROKEN_STREAM, reason)
+        sink.abort()
+    }
+
+    private fun reject(status: HttpResponseStatus, reason: String, retryAfter: Duration?) {
+        if (isDone) return
+        finish(status.code(), reason)
+        val headers = DefaultHttpHeaders()
+        context.dialect.writeOwnAnswer(headers, facts.id)
+        if (!mayHaveRun && !terms.mayForward) PeerEnvelope.markNotRun(headers)
+        retryAfter?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it.toDouble(DurationUnit.SECONDS))) }
+        sink.answer(status, headers, Unpooled.EMPTY_BUFFER)
+    }
+
+    private fun finish(status: Int, reason: String) {
+        isDone = true
+        endTimer?.cancel(false)
+        placementTimer?.cancel(false)
+        request.body.release()
+        val took = context.clock.now() - terms.arrivedAt
+        context.meters.answered(status, took)
+        context.log.write(LogPart.REQUEST, "answered") {
+            put("request", facts.id.value)
+            put("route", terms.routeName)
+            put("manifest", terms.version.value)
+            put("status", status)
+            put("reason", reason)
+            put("attempts", attempts)
+            put("milliseconds", took.inWholeMilliseconds)
+        }
+    }
+
+    private companion object {
+        /** Slack after the end, so that a target's own answer at its time limit comes first. */
+        val END_SLACK = 80.milliseconds
+
+        /** Share of the target latency for which a request may wait for a place. */
+        const val HOLD_SHARE = 0.125
+
+        /** Pause between two looks for a place: about three batch steps of an engine. */
+        val WAIT_STEP = 12.milliseconds
+
+        /** Pause that is asked of callers while no replica is usable. */
+        val NO_REPLICA_WAIT = 300.milliseconds
+
+        /** Pause that is asked of callers after replicas refused. */
+        val REFUSED_WAIT = 100.milliseconds
+
+        /** Codes in logs and metrics where no status was sent. */
+        const val CALLER_LEFT = 499
+        const val BROKEN_STREAM = 0
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
@@ -0,0 +1,44 @@
+package org.buckthornwheel.forwarding.exchange
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.forwarding.dialect.HopByHopHeaders
+import org.buckthornwheel.forwarding.dialect.SendTerms
+import kotlin.time.Duration
+
+/** Makes the headers of a request that is sent on from those that the caller sent. */
+internal object RequestHeaders {
+    private const val LAST_EVENT_ID = "Last-Event-Id"
+
+    fun forReplica(
+        context: ForwardingContext,
+        request: ReceivedRequest,
+        replica: ReplicaId,
+        remaining: Duration,
+        lastEventId: String?,
+    ): HttpHeaders {
+        val headers = common(request, lastEventId)
+        val terms = SendTerms(replica, remaining, request.terms.priority, lastEventId)
+        context.dialect.writeRequest(headers, terms)
+        return headers
+    }
+
+    fun forPeer(request: ReceivedRequest, envelope: PeerEnvelope, lastEventId: String?): HttpHeaders {
+        val headers = common(request, lastEventId)
+        PeerEnvelope.write(headers, envelope)
+        return headers
+    }
+
+    private fun common(request: ReceivedRequest, lastEventId: String?): HttpHeaders {
+        val headers = request.head.headers().copy()
+        HopByHopHeaders.strip(headers)
+        PeerEnvelope.remove(headers)
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+        val length = request.body.readableBytes()
+        if (length > 0 || request.head.method() != HttpMethod.GET) headers.set(HttpHeaderNames.CONTENT_LENGTH, length)
+        lastEventId?.let { headers.set(LAST_EVENT_ID, it) }
+        return headers
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryDirectory.kt
@@ -0,0 +1,35 @@
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.entry.EntryHost
+import org.buckthornwheel.decision.entry.EntryHosts
+
+/** Tells callers which hosts to use. */
+public class EntryDirectory internal constructor(
+    private val self: EntryHost,
+    private val hosts: EntryHosts,
+    private val beliefs: Beliefs,
+    private val isReady: () -> Boolean,
+    private val clock: MonotonicClock,
+) {
+    /** Addresses for a caller of [zone] in [region] that asks for [hostName]; empty if no host is ready. */
+    public fun addresses(hostName: String, zone: ZoneName?, region: RegionName?): List<NetworkAddress> =
+        hosts.directory(zone, region, homes(hostName), isReady(), clock.now())
+            .map { it.callerAddress }
+            .take(MAXIMUM_ADDRESSES)
+
+    /** Regions that all routes of [hostName] may use; empty if any region may be used. */
+    private fun homes(hostName: String): Set<RegionName> = beliefs.manifest?.routesOf(hostName).orEmpty()
+        .map { it.homeRegions }
+        .filter { it.isNotEmpty() }
+        .reduceOrNull { common, next -> common intersect next }
+        .orEmpty()
+
+    private companion object {
+        /** Callers read no more than so many. */
+        const val MAXIMUM_ADDRESSES = 64
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -0,0 +1,192 @@
+/*
+ * All parts of one entry host, wired together: listeners, exchanges, heartbeats, and the way it starts and stops.
+ */
+
+package org.buckthornwheel.forwarding.host
+
+import io.netty.channel.Channel
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.put
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.decision.attempt.WindowedRetryBudget
+import org.buckthornwheel.decision.entry.EntryHosts
+import org.buckthornwheel.decision.placement.Placement
+import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.forwarding.dialect.RequestDialect
+import org.buckthornwheel.forwarding.exchange.ForwardingContext
+import org.buckthornwheel.forwarding.front.CallerEntry
+import org.buckthornwheel.forwarding.front.FrontConnection
+import org.buckthornwheel.forwarding.front.FrontLimits
+import org.buckthornwheel.forwarding.front.FrontState
+import org.buckthornwheel.forwarding.front.PeerEntry
+import org.buckthornwheel.forwarding.front.RequestStarter
+import org.buckthornwheel.forwarding.listener.Listeners
+import org.buckthornwheel.forwarding.listener.PlainAnswer
+import org.buckthornwheel.forwarding.listener.PlainService
+import org.buckthornwheel.forwarding.membership.HeartbeatExchange
+import org.buckthornwheel.forwarding.observability.DecisionLog
+import org.buckthornwheel.forwarding.observability.ForwardingMeters
+import org.buckthornwheel.forwarding.observability.LogPart
+import org.buckthornwheel.forwarding.target.TargetPool
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The calls of the listeners that answer at once, in the words of a deployment. */
+public interface EntryServices {
+    /** Readiness, as [isReady] tells at each call. */
+    public fun readiness(isReady: () -> Boolean): PlainService
+
+    /** The directory, which asks [directory] for addresses. */
+    public fun directory(directory: EntryDirectory): PlainService
+}
+
+/** One entry host. */
+public class EntryHostProcess(
+    private val settings: EntryHostSettings,
+    private val services: EntryServices,
+    dialect: RequestDialect,
+    private val log: DecisionLog,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) {
+    /** The replicas, kept up to date by the deployment's adapter. */
+    public val replicas: ReplicaRegistry = ReplicaRegistry()
+
+    /** The manifest and closed zones, kept up to date by the deployment's adapter. */
+    public val beliefs: Beliefs = Beliefs(clock)
+
+    /** The other hosts; the adapter adds those that are registered. */
+    public val hosts: EntryHosts = EntryHosts(settings.self)
+
+    /** The event loops, which the adapter's client shares. */
+    public val loops: MultiThreadIoEventLoopGroup =
+        MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
+
+    private val meters = ForwardingMeters()
+    private val context = ForwardingContext(
+        self = settings.self,
+        dialect = dialect,
+        beliefs = beliefs,
+        replicas = replicas,
+        hosts = hosts,
+        placement = Placement(settings.self.region, replicas, CROSS_REGION_MILLISECONDS),
+        budget = WindowedRetryBudget(
+            settings.retryRatio,
+            settings.retryAllowance,
+            settings.retryWindow,
+            RETRY_SAFETY,
+        ),
+        log = log,
+        meters = meters,
+        clock = clock,
+    )
+    private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
+    private val front = FrontState()
+    private val peers = FrontState()
+    private val heartbeats = HeartbeatExchange(
+        settings.self,
+        hosts,
+        replicas,
+        settings.introductions,
+        { isReady },
+        log,
+        clock,
+    )
+    private val listeners = ArrayList<Channel>()
+
+    @Volatile
+    private var isLeaving = false
+
+    /** Whether the host takes callers: it knows what to serve and is not leaving. */
+    public val isReady: Boolean get() = !isLeaving && beliefs.manifest != null && replicas.size > 0
+
+    /** Opens all listeners. */
+    public fun start() {
+        val open = Listeners(loops)
+        heartbeats.start(loops)
+        listeners += open.front(settings.self.peerAddress, { PEER_HEADER_BYTES }) {
+            FrontConnection(peerStarter(it.eventLoop()), ::peerLimits, peers)
+        }
+        settings.readinessAddress?.let { address ->
+            listeners += open.plain(address, services.readiness { isReady })
+        }
+        settings.directoryAddress?.let { listeners += open.plain(it, services.directory(directory())) }
+        settings.metricsAddress?.let { listeners += open.plain(it) { _, _ -> PlainAnswer(OK, body = meters.text()) } }
+        listeners += open.front(settings.self.callerAddress, ::headerBytes) {
+            FrontConnection(callerStarter(it.eventLoop()), ::callerLimits, front)
+        }
+        loops.next().scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
+        log.write(LogPart.HOST, "started") {
+            put("zone", settings.self.zone.value)
+            put("incarnation", settings.self.incarnation.value)
+        }
+    }
+
+    /** Graceful shutdown: callers are sent elsewhere, what arrives is served, requests in progress end. */
+    public fun stop() {
+        val begin = clock.now()
+        isLeaving = true
+        front.isDraining = true
+        peers.isDraining = true
+        log.write(LogPart.HOST, "stopping") { put("connections", front.size) }
+        loops.next().execute(heartbeats::send)
+        while (clock.now() - begin < settings.shutdownGrace) {
+            Thread.sleep(STOP_STEP.inWholeMilliseconds)
+            val isForgotten = clock.now() - begin > settings.directoryLife + LEAVE_SLACK
+            if (!isForgotten) continue
+            front.closeIdle()
+            peers.closeIdle()
+            if (front.size == 0 && peers.size == 0) break
+        }
+        log.write(LogPart.HOST, "stopped") { put("connections", front.size) }
+        listeners.forEach { it.close() }
+    }
+
+    private fun directory(): EntryDirectory = EntryDirectory(settings.self, hosts, beliefs, { isReady }, clock)
+
+    private fun pool(loop: EventLoop): TargetPool =
+        pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened) }
+
+    private fun callerStarter(loop: EventLoop): RequestStarter = CallerEntry(context, pool(loop))
+
+    private fun peerStarter(loop: EventLoop): RequestStarter = PeerEntry(context, pool(loop))
+
+    private fun headerBytes(): Int = beliefs.manifest?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES
+
+    private fun callerLimits(): FrontLimits {
+        val limits = beliefs.manifest?.limits ?: return DEFAULT_LIMITS
+        return FrontLimits(limits.bodyBytes, limits.headerTimeout, limits.idleTimeout)
+    }
+
+    private fun peerLimits(): FrontLimits = PEER_LIMITS
+
+    private fun closeIdleTargets() {
+        pools.forEach { (loop, pool) -> loop.execute(pool::closeIdle) }
+    }
+
+    private companion object {
+        /** Both ways between two regions, from the users' sheets (55 ms one way), and a little for the extra hop. */
+        const val CROSS_REGION_MILLISECONDS = 118.0
+
+        /** Share of the retry budget that is used; the rest covers hosts that are not heard. */
+        const val RETRY_SAFETY = 0.7
+        const val OK = 200
+
+        /** Bounds before a manifest is known. */
+        const val DEFAULT_HEADER_BYTES = 16_384
+        val DEFAULT_LIMITS = FrontLimits(bodyBytes = 4_194_304, headerTimeout = 3.seconds, idleTimeout = 15.seconds)
+
+        /** A caller's head and the envelope have to fit. */
+        const val PEER_HEADER_BYTES = 65_536
+        val PEER_LIMITS = FrontLimits(bodyBytes = 16_777_216, headerTimeout = 5.seconds, idleTimeout = 30.seconds)
+
+        val STOP_STEP = 50.milliseconds
+
+        /** Time for a request that is on its way when the directory's answers have run out. */
+        val LEAVE_SLACK = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/HttpListener.kt
@@ -0,0 +1,59 @@
+/*
+ * Small listeners that answer at once: readiness, directory, metrics.
+ */
+
+package org.buckthornwheel.forwarding.listener
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+
+/** An answer of a small listener. */
+public data class PlainAnswer(
+    public val status: Int,
+    public val contentType: String = "text/plain; charset=utf-8",
+    public val body: String = "",
+)
+
+/** Answers one call; [uri] is its path and query. */
+public fun interface PlainService {
+    /** The answer to [method] on [uri]. */
+    public fun answer(method: String, uri: String): PlainAnswer
+}
+
+/** Answers each request of a connection by [service]. */
+internal class PlainHandler(private val service: PlainService) : SimpleChannelInboundHandler<FullHttpRequest>() {
+    override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+        val answer = if (request.decoderResult().isFailure) {
+            PlainAnswer(HttpResponseStatus.BAD_REQUEST.code())
+        } else {
+            service.answer(request.method().name(), request.uri())
+        }
+        val response = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answer.status),
+            Unpooled.wrappedBuffer(answer.body.encodeToByteArray()),
+        )
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+        if (HttpUtil.isKeepAlive(request)) {
+            context.writeAndFlush(response)
+            return
+        }
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    @Deprecated("Netty's own signature")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
@@ -0,0 +1,64 @@
+package org.buckthornwheel.forwarding.listener
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.HttpServerCodec
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.forwarding.front.FrontConnection
+import org.buckthornwheel.forwarding.front.StrictRequestDecoder
+import java.net.InetSocketAddress
+
+/** Opens the listeners of a host on one event loop group. */
+internal class Listeners(private val group: EventLoopGroup) {
+    /** Listens for requests that are forwarded; [connect] makes the handler of each connection. */
+    fun front(address: NetworkAddress, headerBytes: () -> Int, connect: (SocketChannel) -> FrontConnection): Channel =
+        listen(address) { channel ->
+            val connection = connect(channel)
+            channel.pipeline()
+                .addLast(FirstBytes(connection))
+                .addLast(StrictRequestDecoder(headerBytes()))
+                .addLast(HttpResponseEncoder())
+                .addLast(connection)
+        }
+
+    /** Listens for calls that [service] answers at once. */
+    fun plain(address: NetworkAddress, service: PlainService): Channel = listen(address) { channel ->
+        channel.pipeline()
+            .addLast(HttpServerCodec())
+            .addLast(HttpObjectAggregator(MAXIMUM_PLAIN_BYTES))
+            .addLast(PlainHandler(service))
+    }
+
+    private fun listen(address: NetworkAddress, initialize: (SocketChannel) -> Unit): Channel {
+        val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel): Unit = initialize(channel)
+            })
+        KeepAliveOptions.set { option, value -> bootstrap.childOption(option, value) }
+        return bootstrap.bind(InetSocketAddress(address.host, address.port)).sync().channel()
+    }
+
+    private class FirstBytes(private val connection: FrontConnection) : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            connection.onBytes()
+            context.fireChannelRead(message)
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val MAXIMUM_PLAIN_BYTES = 65_536
+    }
+}
