Hosts tell each other which large shared prompts replicas have read; tests of forwarder, rules and adapter

Ruled out: cache events of the replicas (a call for each host and replica, priced as probes under load). Change: heartbeats carry the large shared parts sent in the last 600 ms.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -81,6 +81,9 @@
         if (load.requests == 0) reportedByHosts.remove(host) else reportedByHosts[host] = HostReport(load, now)
     }
 
+    /** Another host had the replica read [parts]. */
+    public fun hasRead(parts: List<PromptPart>): Unit = synchronized(lock) { cache.remember(parts) }
+
     /** What a placement needs to know at [now] for a prompt of [parts]. */
     public fun outlook(parts: List<PromptPart>, now: MonotonicInstant): ReplicaOutlook = synchronized(lock) {
         ReplicaOutlook(
--- /dev/null
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudgetTest.kt
@@ -0,0 +1,41 @@
+package org.buckthornwheel.decision.attempt
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.ServiceName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.seconds
+
+internal class WindowedRetryBudgetTest {
+    private val service = ServiceName("ledger")
+    private val start = MonotonicInstant(0)
+    private val budget = WindowedRetryBudget(ratio = 0.2, allowance = 40.0, window = 10.seconds, safety = 1.0)
+
+    private fun spendAll(hosts: Int, at: MonotonicInstant): Int =
+        generateSequence { budget.spend(service, hosts, at) }.takeWhile { it }.count()
+
+    @Test
+    fun `a host takes its part of the allowance and a share of its own requests`() {
+        repeat(50) { budget.request(service, start) }
+        expectThat(spendAll(hosts = 4, start)).isEqualTo(20)
+    }
+
+    @Test
+    fun `repeats come back when the window has passed`() {
+        spendAll(hosts = 1, start)
+        expectThat(budget.spend(service, 1, start + 11.seconds)).isTrue()
+    }
+
+    @Test
+    fun `all hosts together stay within the budget while a service fails`() {
+        val hosts = 9
+        val total = (1..hosts).sumOf {
+            val own = WindowedRetryBudget(0.2, 40.0, 10.seconds, safety = 0.7)
+            repeat(100) { own.request(service, start) }
+            generateSequence { own.spend(service, hosts, start) }.takeWhile { it }.count()
+        }
+        expectThat(total <= 0.2 * hosts * 100 + 40).isTrue()
+    }
+}
--- /dev/null
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -0,0 +1,197 @@
+package org.buckthornwheel.decision.placement
+
+import org.buckthornwheel.api.HostName
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.replica.AttemptResult
+import org.buckthornwheel.decision.replica.PromptPart
+import org.buckthornwheel.decision.replica.Replica
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.ReplicaLoad
+import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class PlacementTest {
+    private val now = MonotonicInstant(0) + 1_000.seconds
+    private val replicas = ReplicaRegistry()
+    private val placement = Placement(NORTH, replicas, crossRegionMilliseconds = 120.0)
+
+    private fun add(id: String, region: RegionName = NORTH, isDraining: Boolean = false, coldUntil: Duration? = null) {
+        replicas.put(
+            Replica(
+                ReplicaId(id),
+                ENGINES,
+                NetworkAddress("10.0.0.1", 80),
+                ZoneName("$region-a"),
+                region,
+                slots = 4,
+                isDraining = isDraining,
+                startedAt = 1,
+            ),
+            tokenCapacity = 100_000,
+            coldUntil = coldUntil?.let { now + it },
+        )
+    }
+
+    private fun occupy(id: String, requests: Int, tokens: Long = 0) {
+        replicas.find(ReplicaId(id))!!.reported(HostName("other"), ReplicaLoad(requests, tokens, 0), now)
+    }
+
+    private fun request(
+        parts: List<PromptPart> = emptyList(),
+        homes: Set<RegionName> = emptySet(),
+        excluded: Set<ReplicaId> = emptySet(),
+        closed: Set<ZoneName> = emptySet(),
+        mayForward: Boolean = true,
+        isUrgent: Boolean = false,
+    ) = PlacementRequest(
+        ENGINES,
+        promptTokens = maxOf(1_000, parts.sumOf { it.tokens }),
+        outputTokens = 100,
+        parts = parts,
+        priority = 1,
+        targetLatency = 800.milliseconds,
+        remaining = 6.seconds,
+        homeRegions = homes,
+        excluded = excluded,
+        closedZones = closed,
+        mayForward = mayForward,
+        isUrgent = isUrgent,
+    )
+
+    private fun choose(request: PlacementRequest, reachable: Set<RegionName> = setOf(SOUTH)) =
+        placement.choose(request, reachable, now)
+
+    private fun PlacementDecision.replica(): String? = (this as? PlacementDecision.Local)?.replica?.id?.value
+
+    @Nested
+    inner class `given replicas of the own region` {
+        @Test
+        fun `the one with fewer requests in flight is chosen`() {
+            add("a")
+            add("b")
+            occupy("a", 3)
+            expectThat(choose(request()).replica()).isEqualTo("b")
+        }
+
+        @Test
+        fun `one that is draining, excluded or in a closed zone is left out`() {
+            add("a", isDraining = true)
+            add("b")
+            add("c")
+            expectThat(choose(request(excluded = setOf(ReplicaId("b")))).replica()).isEqualTo("c")
+            expectThat(choose(request(closed = setOf(ZoneName("north-a")))))
+                .isEqualTo(PlacementDecision.NoReplica)
+        }
+
+        @Test
+        fun `full slots are no place for a usual request and a few places are left for an urgent one`() {
+            add("a")
+            occupy("a", 4)
+            expectThat(choose(request())).isA<PlacementDecision.Full>()
+            expectThat(choose(request(isUrgent = true)).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `a full memory is no place though slots are free`() {
+            add("a")
+            occupy("a", 1, tokens = 99_500)
+            expectThat(choose(request())).isA<PlacementDecision.Full>()
+        }
+
+        @Test
+        fun `a large shared part goes where it was read before`() {
+            listOf("a", "b", "c").forEach { add(it) }
+            val parts = listOf(PromptPart("shared", 20_000), PromptPart("own", 10))
+            val first = choose(request(parts)).replica()!!
+            replicas.find(ReplicaId(first))!!.begin(ReplicaLoad(1, 0, 0), parts, Duration.ZERO, now)
+            occupy(first, 2)
+            expectThat(choose(request(parts)).replica()).isEqualTo(first)
+        }
+    }
+
+    @Nested
+    inner class `given another region` {
+        @Test
+        fun `it is spared while the own one has room`() {
+            add("a")
+            add("z", SOUTH)
+            occupy("a", 3)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `it takes what the own one has no place for`() {
+            add("a")
+            add("z", SOUTH)
+            occupy("a", 4)
+            expectThat(choose(request())).isA<PlacementDecision.Forward>().get { region }.isEqualTo(SOUTH)
+        }
+
+        @Test
+        fun `it gets nothing that came from elsewhere, and nothing while no host there answers`() {
+            add("z", SOUTH)
+            expectThat(choose(request(mayForward = false))).isEqualTo(PlacementDecision.NoReplica)
+            expectThat(choose(request(), reachable = emptySet())).isEqualTo(PlacementDecision.NoReplica)
+        }
+
+        @Test
+        fun `a home is kept even if the own region is idle`() {
+            add("a")
+            add("z", SOUTH)
+            expectThat(choose(request(homes = setOf(SOUTH)))).isA<PlacementDecision.Forward>()
+        }
+    }
+
+    @Nested
+    inner class `given cold and failing replicas` {
+        @Test
+        fun `a cold one rests between two requests`() {
+            add("a", coldUntil = 5.seconds)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+            replicas.find(ReplicaId("a"))!!.begin(ReplicaLoad(1, 0, 0), emptyList(), 500.milliseconds, now)
+            expectThat(choose(request())).isEqualTo(PlacementDecision.NoReplica)
+            expectThat(placement.choose(request(), emptySet(), now + 600.milliseconds).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `one that broke off several answers rests for a while`() {
+            add("a")
+            add("b")
+            val broken = replicas.find(ReplicaId("a"))!!
+            repeat(3) {
+                broken.begin(ReplicaLoad(1, 0, 0), emptyList(), Duration.ZERO, now)
+                broken.end(ReplicaLoad(1, 0, 0), AttemptResult.BROKEN, 10.milliseconds, now)
+            }
+            occupy("b", 3)
+            expectThat(choose(request()).replica()).isEqualTo("b")
+            expectThat(placement.choose(request(), emptySet(), now + 2.seconds).replica()).isNotEqualTo(null)
+        }
+
+        @Test
+        fun `one that has been silent gets no more requests`() {
+            add("a")
+            add("b")
+            replicas.find(ReplicaId("a"))!!.begin(ReplicaLoad(1, 0, 0), emptyList(), Duration.ZERO, now)
+            replicas.find(ReplicaId("b"))!!.reported(HostName("o"), ReplicaLoad(3, 0, 0), now + 2.seconds)
+            expectThat(placement.choose(request(), emptySet(), now + 2.seconds).replica()).isEqualTo("b")
+        }
+    }
+
+    private companion object {
+        val NORTH = RegionName("north")
+        val SOUTH = RegionName("south")
+        val ENGINES = ServiceName("engines")
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -5,6 +5,7 @@
 import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.entry.EntryHosts
 import org.buckthornwheel.decision.placement.Placement
+import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.host.Beliefs
@@ -17,6 +18,7 @@
     val dialect: RequestDialect,
     val beliefs: Beliefs,
     val replicas: ReplicaRegistry,
+    val reads: RecentReads,
     val hosts: EntryHosts,
     val placement: Placement,
     val budget: WindowedRetryBudget,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -46,6 +46,7 @@
 
     fun start(pool: TargetPool, headers: HttpHeaders, request: ReceivedRequest, lastEventId: String?) {
         state.begin(work, exchange.facts.parts, coldPause(), startedAt)
+        context.reads.add(decision.replica.id, exchange.facts.parts, startedAt)
         log("sent") {
             put("predicted", decision.predicted.inWholeMilliseconds)
             put("missing", decision.missingTokens)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -14,6 +14,7 @@
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.EntryHosts
 import org.buckthornwheel.decision.placement.Placement
+import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
@@ -67,11 +68,13 @@
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
 
     private val meters = ForwardingMeters()
+    private val reads = RecentReads()
     private val context = ForwardingContext(
         self = settings.self,
         dialect = dialect,
         beliefs = beliefs,
         replicas = replicas,
+        reads = reads,
         hosts = hosts,
         placement = Placement(settings.self.region, replicas, CROSS_REGION_MILLISECONDS),
         budget = WindowedRetryBudget(
@@ -91,6 +94,7 @@
         settings.self,
         hosts,
         replicas,
+        reads,
         settings.introductions,
         { isReady },
         log,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -21,6 +21,14 @@
 @Serializable
 internal data class ReplicaWork(val replica: String, val requests: Int, val tokens: Long, val prefillTokens: Long)
 
+/** A part of a prompt. */
+@Serializable
+internal data class ReadPart(val id: String, val tokens: Int)
+
+/** Shared parts that the sender had a replica read lately. */
+@Serializable
+internal data class ReplicaRead(val replica: String, val parts: List<ReadPart>)
+
 /**
  * One heartbeat.
  *
@@ -37,6 +45,7 @@
     val peerAddress: NetworkAddress,
     val isReady: Boolean,
     val work: List<ReplicaWork>,
+    val reads: List<ReplicaRead>,
 ) {
     val host: EntryHost get() = EntryHost(name, incarnation, zone, region, callerAddress, peerAddress)
 
@@ -48,16 +57,18 @@
     companion object {
         private val CODEC = Cbor { ignoreUnknownKeys = true }
 
-        fun of(host: EntryHost, isReady: Boolean, work: List<ReplicaWork>): Heartbeat = Heartbeat(
-            name = host.name,
-            incarnation = host.incarnation,
-            zone = host.zone,
-            region = host.region,
-            callerAddress = host.callerAddress,
-            peerAddress = host.peerAddress,
-            isReady = isReady,
-            work = work,
-        )
+        fun of(host: EntryHost, isReady: Boolean, work: List<ReplicaWork>, reads: List<ReplicaRead>): Heartbeat =
+            Heartbeat(
+                name = host.name,
+                incarnation = host.incarnation,
+                zone = host.zone,
+                region = host.region,
+                callerAddress = host.callerAddress,
+                peerAddress = host.peerAddress,
+                isReady = isReady,
+                work = work,
+                reads = reads,
+            )
 
         /** Reads a datagram; null if it is no heartbeat. */
         fun decode(bytes: ByteArray): Heartbeat? = try {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -14,6 +14,8 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.entry.EntryHosts
+import org.buckthornwheel.decision.replica.PromptPart
+import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaRegistry
@@ -27,6 +29,7 @@
     private val self: EntryHost,
     private val hosts: EntryHosts,
     private val replicas: ReplicaRegistry,
+    private val reads: RecentReads,
     private val introductions: List<NetworkAddress>,
     private val isReady: () -> Boolean,
     private val log: DecisionLog,
@@ -44,7 +47,7 @@
 
     /** Sends one heartbeat to each known host now. */
     fun send() {
-        val bytes = Heartbeat.of(self, isReady(), ownWork()).encode()
+        val bytes = Heartbeat.of(self, isReady(), ownWork(), ownReads()).encode()
         val known = hosts.all().mapTo(LinkedHashSet()) { it.peerAddress }
         if (rounds++ % INTRODUCTION_ROUNDS == 0) known += introductions
         known -= self.peerAddress
@@ -62,6 +65,10 @@
         ReplicaWork(state.current.id.value, load.requests, load.tokens, load.prefillTokens)
     }
 
+    private fun ownReads(): List<ReplicaRead> = reads.news(clock.now()).map { read ->
+        ReplicaRead(read.replica.value, read.parts.map { ReadPart(it.id, it.tokens) })
+    }
+
     private fun receive(beat: Heartbeat) {
         val now = clock.now()
         if (hosts.heard(beat.host, beat.isReady, now)) {
@@ -74,6 +81,9 @@
             ReplicaId(work.replica) to ReplicaLoad(work.requests, work.tokens, work.prefillTokens)
         }
         replicas.reported(beat.name, loads, now)
+        for (read in beat.reads) {
+            replicas.find(ReplicaId(read.replica))?.hasRead(read.parts.map { PromptPart(it.id, it.tokens) })
+        }
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HostileCallerTest.kt
@@ -0,0 +1,150 @@
+/*
+ * What a caller may send, and what reaches a replica of it.
+ */
+
+package org.buckthornwheel.forwarding.transport
+
+import org.buckthornwheel.forwarding.fixture.HostileReplica
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+internal class HostileCallerTest {
+    private val host = RunningHost()
+    private val replica = HostileReplica { request ->
+        val body = "echo ${request.header("Id")} ${request.body}"
+        send(
+            "HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\n" +
+                "Content-Length: ${body.length}\r\n\r\n$body",
+        )
+    }.also { host.add("r1", it) }
+
+    @AfterEach
+    fun close() {
+        replica.close()
+        host.close()
+    }
+
+    private fun statusOf(text: String): Int? = host.caller().use { caller ->
+        caller.send(text)
+        caller.answer()?.status
+    }
+
+    @Test
+    fun `two lengths are refused and nothing is sent on`() {
+        val text = "POST /act/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\n" +
+            "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde"
+        expectThat(statusOf(text)).isEqualTo(400)
+        expectThat(replica.requests).isEmpty()
+    }
+
+    @Test
+    fun `a length with chunks is refused and nothing is sent on`() {
+        val text = "POST /act/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\nContent-Length: 5\r\n" +
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/y HTTP/1.1\r\nHost: gateway.example\r\nId: q2\r\n\r\n"
+        expectThat(statusOf(text)).isEqualTo(400)
+        expectThat(replica.requests).isEmpty()
+    }
+
+    @Test
+    fun `bare line ends are refused and nothing is sent on`() {
+        expectThat(statusOf("GET /read/x HTTP/1.1\nHost: gateway.example\nId: q1\n\n")).isEqualTo(400)
+        expectThat(replica.requests).isEmpty()
+    }
+
+    @Test
+    fun `chunks become a body with a length`() {
+        val text = "POST /act/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        expectThat(statusOf(text)).isEqualTo(200)
+        expectThat(replica.requests.single().body).isEqualTo("abcde")
+    }
+
+    @Test
+    fun `pipelined requests are answered in order`() {
+        host.caller().use { caller ->
+            repeat(3) { caller.request("POST", "/act/x", "q$it", "body$it") }
+            val bodies = List(3) { caller.answer()?.body }
+            expectThat(bodies).isEqualTo(List(3) { "echo q$it body$it" })
+        }
+    }
+
+    @Test
+    fun `a connection carries many requests`() {
+        host.caller().use { caller ->
+            repeat(3) {
+                caller.request("GET", "/read/x", "q$it")
+                expectThat(caller.answer()?.status).isEqualTo(200)
+            }
+        }
+    }
+
+    @Test
+    fun `a head that does not end in time is answered and closed`() {
+        host.caller().use { caller ->
+            caller.send("GET /read/x HTTP/1.1\r\nHost: gate")
+            expectThat(caller.answer()?.status).isEqualTo(408)
+            expectThat(caller.isClosed()).isTrue()
+        }
+    }
+
+    @Test
+    fun `a head that is too large is refused`() {
+        val text = "GET /read/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\nPadding: ${"p".repeat(3_000)}\r\n\r\n"
+        expectThat(statusOf(text)).isEqualTo(431)
+    }
+
+    @Test
+    fun `a body that is too large is refused`() {
+        val text = "POST /act/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\nContent-Length: 20000\r\n\r\n"
+        expectThat(statusOf(text + "b".repeat(20_000))).isEqualTo(413)
+        expectThat(replica.requests).isEmpty()
+    }
+
+    @Test
+    fun `headers of one connection and of the hosts' own are not sent on`() {
+        host.caller().use { caller ->
+            caller.request(
+                "GET",
+                "/read/x",
+                "q1",
+                headers = "Connection: keep-alive, X-Nominated\r\nX-Nominated: 1\r\nTE: trailers\r\n" +
+                    "Gateway-Envelope: forged\r\nOnly: forged\r\nX-Kept: yes\r\n",
+            )
+            caller.answer()
+        }
+        expectThat(replica.requests.single()) {
+            get { header("X-Nominated") }.isNull()
+            get { header("TE") }.isNull()
+            get { header("Gateway-Envelope") }.isNull()
+            get { header("Only") }.isEqualTo("r1")
+            get { header("X-Kept") }.isEqualTo("yes")
+        }
+    }
+
+    @Test
+    fun `an unknown path is not found`() {
+        val text = "GET /unknown/x HTTP/1.1\r\nHost: gateway.example\r\nId: q1\r\n\r\n"
+        expectThat(statusOf(text)).isEqualTo(404)
+    }
+
+    @Test
+    fun `a draining host says that the connection ends`() {
+        host.caller().use { caller ->
+            caller.request("GET", "/read/x", "q1")
+            caller.answer()
+            val stopping = kotlin.concurrent.thread { host.process.stop() }
+            Thread.sleep(100)
+            caller.request("GET", "/read/x", "q2")
+            val answer = caller.answer()
+            expectThat(answer?.head.orEmpty().lowercase()).contains("connection: close")
+            stopping.join()
+        }
+    }
+}
