A replica's own failure answer is kept while another replica is asked, and passed on if none does better

Change: the exchange keeps the failed answer, whole and signed, and delivers it when it gives up. Test: red before (502 in place of the replica's 500), green after. Two tests of the transport table were seen to fail with their mechanism taken out (late answer of another request).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -55,6 +55,7 @@
     private var possibleRuns = 0
     private var isDone = false
     private var hasBegunStream = false
+    private var fallback: AnswerRelay? = null
     private var lastEventId: String? = null
     private var endTimer: ScheduledFuture<*>? = null
     private var placementTimer: ScheduledFuture<*>? = null
@@ -180,8 +181,17 @@
         reject(status, reason, retryAfter = null)
     }
 
-    /** Whether the request may be sent to one more replica after a failure. */
-    fun mayBeRepeated(): Boolean = terms.isRepeatable && attempts < terms.maximumAttempts && !isDone
+    /** A replica failed with a whole [answer]: it is kept, and passed on if no other replica does better. */
+    fun onError(replica: ReplicaId, answer: AnswerRelay) {
+        if (!mayBeRepeated()) return answer.complete()
+        fallback?.discard()
+        fallback = answer
+        excluded += replica
+        attempt = null
+        place()
+    }
+
+    private fun mayBeRepeated(): Boolean = terms.isRepeatable && attempts < terms.maximumAttempts && !isDone
 
     fun answer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         if (isDone) {
@@ -255,6 +265,10 @@
 
     private fun reject(status: HttpResponseStatus, reason: String, retryAfter: Duration?) {
         if (isDone) return
+        fallback?.let { answer ->
+            fallback = null
+            return answer.complete()
+        }
         finish(status.code(), reason)
         val headers = DefaultHttpHeaders()
         context.dialect.writeOwnAnswer(headers, facts.id)
@@ -265,6 +279,8 @@
 
     private fun finish(status: Int, reason: String) {
         isDone = true
+        fallback?.discard()
+        fallback = null
         endTimer?.cancel(false)
         placementTimer?.cancel(false)
         request.body.release()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -152,9 +152,7 @@
 
     private fun failed(answer: AnswerRelay) {
         end(AttemptResult.ERROR)
-        if (!exchange.mayBeRepeated()) return answer.complete()
-        answer.discard()
-        exchange.onFailed(decision.replica.id, null, "replica error", HttpResponseStatus.BAD_GATEWAY)
+        exchange.onError(decision.replica.id, answer)
     }
 
     private fun notRun(answer: AnswerRelay, counts: Boolean) {
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HostileReplicaTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HostileReplicaTest.kt
@@ -223,6 +223,32 @@
         }
     }
 
+    @Nested
+    inner class `given answers that tell of a failure` {
+        private fun ReplicaSide.fail(request: SeenRequest, body: String) =
+            send(whole(request, body).replace("200 OK", "500 Failed"))
+
+        @Test
+        fun `another replica is asked for what may be repeated`() {
+            val asked = ArrayList<HostileReplica>()
+            fun ReplicaSide.serve(request: SeenRequest) =
+                if (asked.sumOf { it.requests.size } == 1) fail(request, "first") else send(whole(request, "second"))
+            asked += replica("r1") { serve(it) }
+            asked += replica("r2") { serve(it) }
+            expectThat(ask("/read/x", method = "GET", body = "")?.body).isEqualTo("second")
+        }
+
+        @Test
+        fun `the replica's own answer is passed on if no other replica is there`() {
+            replica { fail(it, "reason") }
+            expectThat(ask("/read/x", method = "GET", body = "")).isNotNull().and {
+                get { status }.isEqualTo(500)
+                get { body }.isEqualTo("reason")
+                get { header("Signature") }.isEqualTo("s")
+            }
+        }
+    }
+
     @Nested
     inner class `given refusals` {
         @Test
