--- a/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/product/ProductTest.kt
+++ b/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/product/ProductTest.kt
@@ -68,7 +68,7 @@
     inner class `given the operators' page` {
         @Test
         fun `each metric that it names is there`(): Unit = runBlocking {
-            val named = Regex("`(buckthornwheel[.][a-z.]+)").findAll(Path("../docs/OPERATING.md").readText())
+            val named = Regex("`(buckthornwheel[.][a-z.]+)").findAll(Path("../docs/OPERATIONS.md").readText())
                 .map { it.groupValues[1].replace('.', '_') }
                 .toSet()
             expectThat(product.call { setBody("{}") }.status.value).isEqualTo(400)
