Connections to targets live in a package of another name

Seen when a second work tree was built. Ruled out: a change of .gitignore, as the build's own folders have that name. Change: package connection; nothing else.

--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -0,0 +1,135 @@
+package org.buckthornwheel.forwarding.connection
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/**
+ * One connection to a target, with at most one request on it.
+ *
+ * It goes back to the pool only at the end of a read in which nothing came after the answer: bytes that follow a whole
+ * answer belong to no request, and a connection that carried some is closed.
+ */
+internal class TargetConnection(val channel: Channel, private val pool: TargetPool, val key: TargetKey) :
+    ChannelInboundHandlerAdapter() {
+    private var listener: TargetListener? = null
+    private var isSkipping = false
+    private var isBodyExpected = false
+    private var mayReuse = true
+    private var isReleasePending = false
+    private var brokenBy: String? = null
+
+    /** Times of the pool; nanoseconds of the monotonic clock at which the connection may be idle no longer. */
+    var idleUntilNanoseconds: Long = 0
+
+    /** Idle time in milliseconds that the target announced last; null if it did not. */
+    var announcedIdleMilliseconds: Long? = null
+        private set
+
+    val isOpen: Boolean get() = channel.isActive && brokenBy == null
+
+    fun send(request: HttpRequest, body: ByteBuf, receiver: TargetListener) {
+        listener = receiver
+        isSkipping = false
+        channel.write(request)
+        channel.writeAndFlush(DefaultLastHttpContent(body)).addListener(
+            ChannelFutureListener { future -> if (!future.isSuccess) breakOff("write failed: ${future.cause()}") },
+        )
+    }
+
+    /** Ends the request on it, and so the target's work, by closing the connection. */
+    fun cancel() {
+        listener = null
+        channel.close()
+    }
+
+    fun setReading(reads: Boolean) {
+        channel.config().isAutoRead = reads
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        try {
+            if (message is HttpResponse) readHead(message)
+            if (message is HttpContent) readContent(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun readHead(head: HttpResponse) {
+        val receiver = listener ?: return breakOff("bytes after an answer")
+        if (head.decoderResult().isFailure) return breakOff("not an answer: ${head.decoderResult().cause()}")
+        isSkipping = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !receiver.accepts(head)
+        isBodyExpected = true
+        if (!HttpUtil.isKeepAlive(head)) mayReuse = false
+        if (isSkipping) return
+        announcedIdleMilliseconds = KeepAliveHeader.idleMilliseconds(head.headers())
+        receiver.onHead(head)
+    }
+
+    private fun readContent(content: HttpContent) {
+        if (content.decoderResult().isFailure) return breakOff("unreadable body: ${content.decoderResult().cause()}")
+        if (brokenBy != null || !isBodyExpected) return
+        if (!isSkipping && content.content().isReadable) listener?.onContent(content.content().retain())
+        if (content !is LastHttpContent) return
+        isBodyExpected = false
+        if (isSkipping) return
+        val receiver = listener
+        listener = null
+        isReleasePending = true
+        receiver?.onComplete()
+    }
+
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (isReleasePending) {
+            isReleasePending = false
+            if (mayReuse && isOpen) pool.release(this) else channel.close()
+        }
+        context.fireChannelReadComplete()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        breakOff("connection closed")
+        pool.forget(this)
+    }
+
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        breakOff(cause.toString())
+    }
+
+    private fun breakOff(reason: String) {
+        if (brokenBy != null) return
+        brokenBy = reason
+        val receiver = listener
+        listener = null
+        channel.close()
+        receiver?.onBroken(reason)
+    }
+}
+
+/** Reads the parameters of the `Keep-Alive` header. */
+internal object KeepAliveHeader {
+    private const val MILLISECONDS_PER_SECOND = 1_000L
+
+    fun idleMilliseconds(headers: io.netty.handler.codec.http.HttpHeaders): Long? {
+        if (headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) return 0
+        val parameters = headers.get("Keep-Alive") ?: return null
+        return parameters.split(',')
+            .map { it.trim() }
+            .firstOrNull { it.startsWith("timeout=", ignoreCase = true) }
+            ?.substringAfter('=')?.trim()?.toLongOrNull()
+            ?.times(MILLISECONDS_PER_SECOND)
+    }
+}
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetListener.kt
@@ -0,0 +1,22 @@
+package org.buckthornwheel.forwarding.connection
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+
+/** Receives the answer to one request on a connection to a target; called on the connection's event loop. */
+internal interface TargetListener {
+    /** Whether the answer with this head belongs to the request; one that does not is read and dropped. */
+    fun accepts(head: HttpResponse): Boolean
+
+    /** The answer's head. */
+    fun onHead(head: HttpResponse)
+
+    /** A piece of the body; the receiver releases it. */
+    fun onContent(content: ByteBuf)
+
+    /** The answer is whole. */
+    fun onComplete()
+
+    /** The answer will not be whole; [reason] says why. */
+    fun onBroken(reason: String)
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -10,11 +10,11 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.entry.EntryHost
+import org.buckthornwheel.forwarding.connection.TargetConnection
+import org.buckthornwheel.forwarding.connection.TargetKey
+import org.buckthornwheel.forwarding.connection.TargetListener
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.observability.LogPart
-import org.buckthornwheel.forwarding.target.TargetConnection
-import org.buckthornwheel.forwarding.target.TargetKey
-import org.buckthornwheel.forwarding.target.TargetListener
-import org.buckthornwheel.forwarding.target.TargetPool
 import kotlin.time.Duration.Companion.seconds
 
 /** A request at a host of another region. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestEntry.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestEntry.kt
@@ -14,6 +14,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.manifest.Manifest
 import org.buckthornwheel.decision.manifest.Route
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestFacts
 import org.buckthornwheel.forwarding.exchange.Exchange
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
@@ -21,7 +22,6 @@
 import org.buckthornwheel.forwarding.exchange.ReceivedRequest
 import org.buckthornwheel.forwarding.exchange.RequestTerms
 import org.buckthornwheel.forwarding.observability.LogPart
-import org.buckthornwheel.forwarding.target.TargetPool
 import java.util.concurrent.ThreadLocalRandom
 
 /** Starts requests of callers. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -16,6 +16,7 @@
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
 import org.buckthornwheel.forwarding.front.CallerEntry
@@ -31,7 +32,6 @@
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
-import org.buckthornwheel.forwarding.target.TargetPool
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
