Replicas fetch the kept parts of a prompt from each other instead of reading them again

Change: the placement knows which replica keeps most of the prompt; one chosen instead of it is told to fetch from there, only between regions that may serve the request. The transfer's time is part of the prediction. Lines of sent requests also tell the believed load and memory. PeerForwardingTest covers the hop between regions.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
@@ -6,12 +6,14 @@
  * Predicts when a replica's answer begins.
  *
  * The figures of engines come from the users' sheets: prompt tokens read in a millisecond, time to the first token of
- * an idle engine. Times in milliseconds.
+ * an idle engine, bytes of a token over the engines' link. Times in milliseconds.
  */
 public data class CostModel(
     public val prefillTokensPerMillisecond: Double = 112.0,
     public val firstTokenMilliseconds: Double = 31.0,
     public val defaultServiceMilliseconds: Double = 300.0,
+    public val fetchSetupMilliseconds: Double = 10.0,
+    public val fetchedTokensPerMillisecond: Double = 2_000.0,
 ) {
     /** The time until an answer begins at the replica of [outlook], with [missingTokens] of the prompt to be read. */
     internal fun beginMilliseconds(outlook: ReplicaOutlook, missingTokens: Int): Double {
@@ -24,6 +26,9 @@
         return (firstTokenMilliseconds + wait + prefill) * maxOf(1.0, outlook.slowness)
     }
 
+    /** The time that a replica takes to fetch [tokens] from another one. */
+    internal fun fetchMilliseconds(tokens: Int): Double = fetchSetupMilliseconds + tokens / fetchedTokensPerMillisecond
+
     /** The time from the request's arrival until a slot of the replica becomes free. */
     internal fun slotWaitMilliseconds(outlook: ReplicaOutlook): Double =
         outlook.averageMilliseconds(defaultServiceMilliseconds) / maxOf(1, outlook.replica.slots)
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -10,6 +10,7 @@
 
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaOutlook
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.decision.routing.RendezvousHash
@@ -26,7 +27,16 @@
     private val crossRegionMilliseconds: Double,
     private val costs: CostModel = CostModel(),
 ) {
-    private class Candidate(val outlook: ReplicaOutlook, val missing: Int, val begin: Double, val cost: Double)
+    private class Candidate(
+        val outlook: ReplicaOutlook,
+        val missing: Int,
+        val begin: Double,
+        val cost: Double,
+        val fetchFrom: Replica?,
+    )
+
+    /** What is known of the service's replicas, and the one that keeps most of the prompt. */
+    private class Known(val usable: List<ReplicaOutlook>, val keeper: ReplicaOutlook?)
 
     /** The place for [request] at [now]; [reachable] are the other regions with a host that answers. */
     public fun choose(
@@ -34,30 +44,30 @@
         reachable: Set<RegionName>,
         now: MonotonicInstant,
     ): PlacementDecision {
-        val usable = usable(request, reachable, now)
+        val known = known(request, reachable, now)
+        val usable = known.usable
         if (usable.isEmpty()) return PlacementDecision.NoReplica
         val preferred = preferredReplicas(request, usable)
         val best = usable
             .filter { hasRoom(it, request) }
-            .map { candidate(it, request, isPreferred = it.replica.id.value in preferred) }
+            .map { candidate(it, request, known.keeper, isPreferred = it.replica.id.value in preferred) }
             .minByOrNull { it.cost }
             ?: return PlacementDecision.Full(usable.minOf { costs.slotWaitMilliseconds(it) }.milliseconds)
         return decision(best)
     }
 
-    private fun usable(
-        request: PlacementRequest,
-        reachable: Set<RegionName>,
-        now: MonotonicInstant,
-    ): List<ReplicaOutlook> {
-        val found = ArrayList<ReplicaOutlook>()
-        for (state in replicas.of(request.service)) {
-            val outlook = state.outlook(request.parts, now)
-            if (isPermitted(outlook, request, reachable)) found += outlook
-        }
-        return found.filterNot { it.isOut }.ifEmpty { lastResort(found) }
+    private fun known(request: PlacementRequest, reachable: Set<RegionName>, now: MonotonicInstant): Known {
+        val all = replicas.of(request.service).map { it.outlook(request.parts, now) }
+        val found = all.filter { isPermitted(it, request, reachable) }
+        val usable = found.filterNot { it.isOut }.ifEmpty { lastResort(found) }
+        return Known(usable, all.filter { mayHandOver(it, request) }.maxByOrNull { it.cachedTokens })
     }
 
+    /** Prompts leave the memory of a replica only towards regions that may serve them. */
+    private fun mayHandOver(outlook: ReplicaOutlook, request: PlacementRequest): Boolean =
+        outlook.cachedTokens >= LEAST_FETCHED_TOKENS && !outlook.isOut &&
+            (request.homeRegions.isEmpty() || outlook.replica.region in request.homeRegions)
+
     /** Replicas that rest after failures are better than none, as long as one of them answers now and then. */
     private fun lastResort(resting: List<ReplicaOutlook>): List<ReplicaOutlook> =
         if (resting.size > 1) emptyList() else resting
@@ -81,13 +91,23 @@
     /** Urgent requests may use places that the others must leave free. */
     private fun queueShare(request: PlacementRequest): Double = if (request.isUrgent) URGENT_QUEUE else USUAL_QUEUE
 
-    private fun candidate(outlook: ReplicaOutlook, request: PlacementRequest, isPreferred: Boolean): Candidate {
-        val known = if (isPreferred) maxOf(outlook.cachedTokens, sharedTokens(request)) else outlook.cachedTokens
+    private fun candidate(
+        outlook: ReplicaOutlook,
+        request: PlacementRequest,
+        keeper: ReplicaOutlook?,
+        isPreferred: Boolean,
+    ): Candidate {
+        val kept = if (isPreferred) maxOf(outlook.cachedTokens, sharedTokens(request)) else outlook.cachedTokens
+        val gain = keeper?.let { it.cachedTokens - outlook.cachedTokens } ?: 0
+        val fetches = keeper != null && gain >= LEAST_FETCHED_TOKENS
+        val known = if (fetches) maxOf(kept, outlook.cachedTokens + gain) else kept
         val missing = maxOf(0, request.promptTokens - known)
-        val begin = costs.beginMilliseconds(outlook, missing)
+        val fetch = if (fetches) costs.fetchMilliseconds(gain) else 0.0
+        val begin = costs.beginMilliseconds(outlook, missing) + fetch
         val way = if (outlook.replica.region == region) 0.0 else crossRegionMilliseconds
         val crowding = outlook.load.requests * CROWDING_MILLISECONDS / maxOf(1, outlook.replica.slots)
-        return Candidate(outlook, missing, begin + way, begin + way + crowding)
+        val source = keeper?.replica.takeIf { fetches }
+        return Candidate(outlook, missing, begin + way, begin + way + crowding, source)
     }
 
     private fun sharedTokens(request: PlacementRequest): Int = request.parts.dropLast(1).sumOf { it.tokens }
@@ -105,7 +125,7 @@
         val replica = best.outlook.replica
         val predicted = best.begin.milliseconds
         if (replica.region != region) return PlacementDecision.Forward(replica.region, predicted)
-        return PlacementDecision.Local(replica, best.missing, predicted)
+        return PlacementDecision.Local(replica, best.missing, best.outlook.load, predicted, best.fetchFrom)
     }
 
     private companion object {
@@ -119,6 +139,9 @@
         /** Slowing of a full batch against an empty one, by which equal replicas are told apart. */
         const val CROWDING_MILLISECONDS = 60.0
 
+        /** Kept tokens that are worth a transfer: they take some ten milliseconds to read. */
+        const val LEAST_FETCHED_TOKENS = 1_024
+
         /** Parts below this size are not worth a detour: they are read in about two milliseconds. */
         const val LEAST_SHARED_TOKENS = 256
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -8,6 +8,7 @@
 package org.buckthornwheel.forwarding.dialect
 
 import io.netty.handler.codec.http.HttpHeaders
+import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.api.RequestId
 import org.buckthornwheel.decision.replica.PromptPart
 import org.buckthornwheel.decision.replica.ReplicaId
@@ -39,12 +40,14 @@
  * @property remaining time after which the replica stops working on it.
  * @property priority rank of the request; 0 is the most urgent.
  * @property lastEventId the event after which a stream is to be continued; null to start it.
+ * @property fetchFrom a replica from whose memory it takes what that keeps of the prompt; null for none.
  */
 public data class SendTerms(
     public val replica: ReplicaId,
     public val remaining: Duration,
     public val priority: Int,
     public val lastEventId: String?,
+    public val fetchFrom: NetworkAddress? = null,
 )
 
 /** What an answer's head says, beside its status. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -21,9 +21,9 @@
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestFacts
 import org.buckthornwheel.forwarding.observability.LogPart
-import org.buckthornwheel.forwarding.target.TargetPool
 import java.util.concurrent.ThreadLocalRandom
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -122,7 +122,7 @@
     }
 
     private fun replicaHeaders(decision: PlacementDecision.Local, now: MonotonicInstant): HttpHeaders =
-        RequestHeaders.forReplica(context, request, decision.replica.id, terms.end - now, lastEventId)
+        RequestHeaders.forReplica(context, request, decision, terms.end - now, lastEventId)
 
     private fun forward(decision: PlacementDecision.Forward, now: MonotonicInstant) {
         val host = context.hosts.ready(now)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -14,12 +14,12 @@
 import org.buckthornwheel.decision.replica.AttemptResult
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.forwarding.connection.TargetConnection
+import org.buckthornwheel.forwarding.connection.TargetKey
+import org.buckthornwheel.forwarding.connection.TargetListener
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.AnswerFacts
 import org.buckthornwheel.forwarding.observability.LogPart
-import org.buckthornwheel.forwarding.target.TargetConnection
-import org.buckthornwheel.forwarding.target.TargetKey
-import org.buckthornwheel.forwarding.target.TargetListener
-import org.buckthornwheel.forwarding.target.TargetPool
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -50,6 +50,9 @@
         log("sent") {
             put("predicted", decision.predicted.inWholeMilliseconds)
             put("missing", decision.missingTokens)
+            put("load", decision.load.requests)
+            put("memory", decision.load.tokens)
+            decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
         }
         val replica = decision.replica
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.forwarding.dialect.HopByHopHeaders
 import org.buckthornwheel.forwarding.dialect.SendTerms
 import kotlin.time.Duration
@@ -15,12 +15,18 @@
     fun forReplica(
         context: ForwardingContext,
         request: ReceivedRequest,
-        replica: ReplicaId,
+        decision: PlacementDecision.Local,
         remaining: Duration,
         lastEventId: String?,
     ): HttpHeaders {
         val headers = common(request, lastEventId)
-        val terms = SendTerms(replica, remaining, request.terms.priority, lastEventId)
+        val terms = SendTerms(
+            decision.replica.id,
+            remaining,
+            request.terms.priority,
+            lastEventId,
+            decision.fetchFrom?.address,
+        )
         context.dialect.writeRequest(headers, terms)
         return headers
     }
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -0,0 +1,99 @@
+/*
+ * Requests that go on to a host of another region.
+ */
+
+package org.buckthornwheel.forwarding.transport
+
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.forwarding.fixture.HostileReplica
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import java.util.concurrent.atomic.AtomicBoolean
+
+internal class PeerForwardingTest {
+    private val north = RunningHost("north-1", "north")
+    private val south = RunningHost("south-1", "south", introductions = listOf(north.self.peerAddress))
+    private val replicas = ArrayList<HostileReplica>()
+
+    @AfterEach
+    fun close() {
+        replicas.forEach { it.close() }
+        north.close()
+        south.close()
+    }
+
+    /** Registers a replica of the southern region with both hosts, and waits until they know each other. */
+    private fun southern(replica: HostileReplica): HostileReplica {
+        replicas += replica
+        listOf(north, south).forEach { it.add("s1", replica, region = "south") }
+        awaitUntil { north.process.hosts.ready(MonotonicClock.SYSTEM.now()).isNotEmpty() }
+        return replica
+    }
+
+    private fun answering() = HostileReplica { request ->
+        val body = "answer to ${request.body}"
+        send(
+            "HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\n" +
+                "Content-Length: ${body.length}\r\n\r\n$body",
+        )
+    }
+
+    @Test
+    fun `the answer comes back with its signature and without the hosts' own headers`() {
+        val replica = southern(answering())
+        north.caller().use { caller ->
+            caller.request("POST", "/act/x?y=1", "q1", "question")
+            expectThat(caller.answer()).isNotNull().and {
+                get { body }.isEqualTo("answer to question")
+                get { header("Signature") }.isEqualTo("s")
+                get { header("Gateway-Outcome") }.isNull()
+            }
+        }
+        expectThat(replica.requests.single()) {
+            get { line }.isEqualTo("POST /act/x?y=1 HTTP/1.1")
+            get { header("Gateway-Envelope") }.isNull()
+        }
+    }
+
+    @Test
+    fun `a request that came from another region goes no further`() {
+        val replica = southern(answering())
+        south.process.replicas.remove(ReplicaId("s1"))
+        south.add("n1", replica, region = "north")
+        north.caller().use { caller ->
+            caller.request("POST", "/act/x", "q1", "question")
+            expectThat(caller.answer()).isNotNull().and {
+                get { status }.isEqualTo(503)
+                get { header("Retry-After") }.isNotNull()
+            }
+        }
+        expectThat(replica.requests.size).isEqualTo(0)
+    }
+
+    @Test
+    fun `work in the other region is cancelled when the caller leaves`() {
+        val isCancelled = AtomicBoolean()
+        val replica = southern(HostileReplica { isCancelled.set(awaitClose(1_000)) })
+        north.caller().use { caller ->
+            caller.request("POST", "/act/x", "q1", "question")
+            awaitUntil { replica.requests.size == 1 }
+        }
+        awaitUntil { isCancelled.get() }
+    }
+
+    @Test
+    fun `a host that stops is not given requests any more`() {
+        southern(answering())
+        val stopping = kotlin.concurrent.thread { south.process.stop() }
+        val now = { MonotonicClock.SYSTEM.now() }
+        awaitUntil { north.process.hosts.ready(now()).isEmpty() }
+        stopping.join()
+    }
+}
