Queues at replicas are bounded by the wait they cost, not by a share of the slots

Ruled out: lost knowledge of replicas (the logs show them gone and registered in time), health ejection. Change: QueueRules lets a request join if it still begins within a quarter (urgent: four tenths) of the target latency. Tests: red before for short work and for the queue by wait, green after; the test of full slots became one of a full queue, as strict at the new bound.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -27,6 +27,8 @@
     private val crossRegionMilliseconds: Double,
     private val costs: CostModel = CostModel(),
 ) {
+    private val queues = QueueRules(costs)
+
     private class Candidate(
         val outlook: ReplicaOutlook,
         val missing: Int,
@@ -49,7 +51,7 @@
         if (usable.isEmpty()) return PlacementDecision.NoReplica
         val preferred = preferredReplicas(request, usable)
         val best = usable
-            .filter { hasRoom(it, request) }
+            .filter { queues.hasRoom(it, request) }
             .map { candidate(it, request, known.keeper, isPreferred = it.replica.id.value in preferred) }
             .minByOrNull { it.cost }
             ?: return PlacementDecision.Full(usable.minOf { costs.slotWaitMilliseconds(it) }.milliseconds)
@@ -80,17 +82,6 @@
         return !outlook.isCold || outlook.mayTakeColdRequest
     }
 
-    private fun hasRoom(outlook: ReplicaOutlook, request: PlacementRequest): Boolean {
-        val places = outlook.replica.slots + (outlook.replica.slots * queueShare(request)).toInt()
-        if (outlook.load.requests >= places) return false
-        if (outlook.tokenCapacity <= 0) return true
-        val needed = request.promptTokens + request.outputTokens
-        return outlook.load.requests == 0 || outlook.load.tokens + needed <= outlook.tokenCapacity * MEMORY_SHARE
-    }
-
-    /** Urgent requests may use places that the others must leave free. */
-    private fun queueShare(request: PlacementRequest): Double = if (request.isUrgent) URGENT_QUEUE else USUAL_QUEUE
-
     private fun candidate(
         outlook: ReplicaOutlook,
         request: PlacementRequest,
@@ -129,13 +120,6 @@
     }
 
     private companion object {
-        /** Share of a replica's memory that requests may fill; the rest absorbs what other hosts send meanwhile. */
-        const val MEMORY_SHARE = 0.92
-
-        /** Requests that may wait at a replica, as a share of its slots. */
-        const val USUAL_QUEUE = 0.15
-        const val URGENT_QUEUE = 0.4
-
         /** Slowing of a full batch against an empty one, by which equal replicas are told apart. */
         const val CROWDING_MILLISECONDS = 60.0
 
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/QueueRules.kt
@@ -0,0 +1,41 @@
+package org.buckthornwheel.decision.placement
+
+import org.buckthornwheel.decision.replica.ReplicaOutlook
+import kotlin.time.DurationUnit
+
+/**
+ * Bounds how many requests a replica may have at once, those in its own queue included.
+ *
+ * Answers the load in which a service has lost replicas and the rest is far away: with no request waiting at a replica,
+ * its slots stand idle while the next one is on its way. A queue keeps them busy; it may only be so long that a request
+ * at its end still begins well inside the target latency. Urgent requests may join a longer queue, so that the others
+ * are turned away first.
+ */
+internal class QueueRules(private val costs: CostModel) {
+    /** Whether the replica of [outlook] may get [request]. */
+    fun hasRoom(outlook: ReplicaOutlook, request: PlacementRequest): Boolean {
+        if (outlook.load.requests >= outlook.replica.slots + queue(outlook, request)) return false
+        if (outlook.tokenCapacity <= 0 || outlook.load.requests == 0) return true
+        val needed = request.promptTokens + request.outputTokens
+        return outlook.load.tokens + needed <= outlook.tokenCapacity * MEMORY_SHARE
+    }
+
+    private fun queue(outlook: ReplicaOutlook, request: PlacementRequest): Int {
+        val waitShare = if (request.isUrgent) URGENT_WAIT else USUAL_WAIT
+        val longestWait = request.targetLatency.toDouble(DurationUnit.MILLISECONDS) * waitShare
+        val places = (longestWait / maxOf(1.0, costs.slotWaitMilliseconds(outlook))).toInt()
+        return minOf(places, (outlook.replica.slots * LONGEST_QUEUE).toInt())
+    }
+
+    private companion object {
+        /** Share of a replica's memory that requests may fill; the rest absorbs what other hosts send meanwhile. */
+        const val MEMORY_SHARE = 0.92
+
+        /** Wait in a replica's queue, as a share of the target latency. */
+        const val USUAL_WAIT = 0.25
+        const val URGENT_WAIT = 0.4
+
+        /** Longest queue as a share of the slots; replicas of the users' sheets queue three to four times their slots. */
+        const val LONGEST_QUEUE = 2.0
+    }
+}
