Replicas of a zone that is open again are used like cold ones until they have reported

By the log, edge-fes-a-1 regained the store at 10.041 s and learned in the same answer that its zone was open again; the cold replicas wrote their entries at 10.12 to 10.33 s, and i-77d2845292 fell over before it wrote one. In between they were taken as warm, as their last entries had said. Ruled out: the pace of known cold replicas (the others were paced as soon as their entries had come). Change: when a closed zone opens, its replicas are taken as cold for 3 s. A later assumption does not shorten a known cold time.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -3,7 +3,9 @@
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.api.ZoneName
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
 
 /** The replicas that are registered, each with its own state and lock. */
 public class ReplicaRegistry {
@@ -24,6 +26,16 @@
         index()
     }
 
+    /**
+     * Takes the replicas of [zone] as cold for [REPORTED_WITHIN] after [now], as the zone is open again.
+     *
+     * Nothing was sent to them meanwhile, and the registry may hold what they said before they became cold: the store
+     * can bring the opening of the zone before the replicas' next entries, above all when it was away.
+     */
+    public fun reopened(zone: ZoneName, now: MonotonicInstant) {
+        for (state in states.values) if (state.current.zone == zone) state.coldUntil(now + REPORTED_WITHIN)
+    }
+
     /** Removes the replica [id]; requests in flight keep their state. */
     public fun remove(id: ReplicaId) {
         if (states.remove(id) != null) index()
@@ -46,4 +58,9 @@
     private fun index() {
         byService = states.values.groupBy { it.current.service }
     }
+
+    private companion object {
+        /** Replicas write every 1.2 s, and are back in the store within two seconds of its return (users' pages). */
+        val REPORTED_WITHIN = 3.seconds
+    }
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -73,8 +73,11 @@
         replica = changed
     }
 
-    /** Marks the replica as cold until [until]. */
-    public fun coldUntil(until: MonotonicInstant): Unit = synchronized(lock) { coldUntil = until }
+    /** Marks the replica as cold until [until], unless it is known to be cold for longer. */
+    public fun coldUntil(until: MonotonicInstant): Unit = synchronized(lock) {
+        if (isBefore(until, coldUntil)) return@synchronized
+        coldUntil = until
+    }
 
     /** Notes the [load] that [host] has at the replica. */
     public fun reported(host: HostName, load: ReplicaLoad, now: MonotonicInstant): Unit = synchronized(lock) {
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -221,6 +221,23 @@
             expectThat(placement.choose(request(), emptySet(), now + 600.milliseconds).replica()).isEqualTo("a")
         }
 
+        @Test
+        fun `replicas of a zone that is open again are used like cold ones until they have reported`() {
+            add("a")
+            replicas.reopened(ZoneName("north-a"), now)
+            replicas.find(ReplicaId("a"))!!.begin(ReplicaLoad(1, 0, 0), emptyList(), 500.milliseconds, now)
+            expectThat(choose(request())).isEqualTo(PlacementDecision.NoReplica)
+            expectThat(placement.choose(request(), emptySet(), now + 3.seconds).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `a zone that is open again does not shorten the time for which a replica is cold`() {
+            add("a", coldUntil = 5.seconds)
+            replicas.reopened(ZoneName("north-a"), now)
+            replicas.find(ReplicaId("a"))!!.begin(ReplicaLoad(1, 0, 0), emptyList(), 9.seconds, now)
+            expectThat(placement.choose(request(), emptySet(), now + 4.seconds)).isEqualTo(PlacementDecision.NoReplica)
+        }
+
         @Test
         fun `one that broke off several answers rests for a while`() {
             add("a")
