Few hosts of a zone take its callers, and heartbeats reach those that need them

Cause: each host told each other host of its work four times a second. The directory named all hosts of a zone alike, so that a host of 0.36 cores got as many callers as one of 1.5 cores. Each of 26 hosts of a region might send to a cold replica in its first second, where about 11 requests are permitted. Change: PrimaryHosts chooses the strongest hosts of a zone (up to three cores) for its callers and for requests of other regions, the rest stand by. HeartbeatIntervals: work and reads go only between primary hosts (250 ms in the region, 500 ms to other regions); hosts that stand by tell the primary hosts of their region, once a second. A heartbeat says when the next one comes, and its fields are numbered. Three hosts of a region, the same for all, use a cold replica. Not met: a primary host at 400 hosts.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHost.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHost.kt
@@ -11,6 +11,7 @@
  *
  * @property callerAddress where callers connect.
  * @property peerAddress where other hosts connect and send heartbeats.
+ * @property cores processor that the host may use, in cores.
  */
 public data class EntryHost(
     public val name: HostName,
@@ -19,4 +20,5 @@
     public val region: RegionName,
     public val callerAddress: NetworkAddress,
     public val peerAddress: NetworkAddress,
+    public val cores: Double,
 )
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -11,56 +11,83 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.routing.RendezvousHash
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The known entry hosts besides [self]. */
 public class EntryHosts(private val self: EntryHost) {
-    private class Known(var host: EntryHost, var heardAt: MonotonicInstant?, var isReady: Boolean)
+    private class Known(var host: EntryHost, val heardAt: MonotonicInstant?, val isReady: Boolean, val life: Duration)
 
     private val lock = Any()
     private val known = HashMap<HostName, Known>()
+    private var view: HostView? = null
 
     /** Adds a host that the store lists; a heartbeat has to show that it is alive. */
     public fun listed(host: EntryHost): Unit = synchronized(lock) {
         if (host.name == self.name) return@synchronized
         val present = known[host.name]
         when {
-            present == null -> known[host.name] = Known(host, null, isReady = false)
+            present == null -> known[host.name] = Known(host, null, isReady = false, Duration.ZERO)
             present.host.incarnation < host.incarnation -> present.host = host
         }
+        view = null
     }
 
     /** The store lists the host [name] no longer; one that was heard goes on counting until it falls silent. */
     public fun unlisted(name: HostName): Unit = synchronized(lock) {
         if (known[name]?.heardAt == null) known.remove(name)
+        view = null
     }
 
-    /** Notes a heartbeat of [host]; true if the host was not alive before. */
-    public fun heard(host: EntryHost, isReady: Boolean, now: MonotonicInstant): Boolean = synchronized(lock) {
-        if (host.name == self.name) return false
-        val present = known[host.name]
-        if (present != null && present.host.incarnation > host.incarnation) return false
-        val wasAlive = present != null && isAlive(present, now)
-        known[host.name] = Known(host, now, isReady)
-        !wasAlive
-    }
+    /**
+     * Notes a heartbeat of [host], which sends the next one after [interval].
+     *
+     * @return whether the host was not alive before.
+     */
+    public fun heard(host: EntryHost, isReady: Boolean, interval: Duration, now: MonotonicInstant): Boolean =
+        synchronized(lock) {
+            if (host.name == self.name) return false
+            val present = known[host.name]
+            if (present != null && present.host.incarnation > host.incarnation) return false
+            val wasAlive = present != null && isAlive(present, now)
+            known[host.name] = Known(host, now, isReady, maxOf(LEAST_LIFE, interval * MISSED_HEARTBEATS))
+            if (!wasAlive || present.isReady != isReady) view = null
+            !wasAlive
+        }
 
     /** Forgets hosts that were not heard for so long that they must have been replaced. */
     public fun forgetOld(now: MonotonicInstant): Unit = synchronized(lock) {
         known.values.removeIf { entry -> entry.heardAt?.let { now - it > FORGET_AFTER } ?: false }
     }
 
-    /** All known hosts, alive or not; heartbeats go to them. */
+    /** All known hosts, alive or not. */
     public fun all(): List<EntryHost> = synchronized(lock) { known.values.map { it.host } }
 
     /** Hosts that are alive and ready at [now]. */
-    public fun ready(now: MonotonicInstant): List<EntryHost> =
-        synchronized(lock) { known.values.filter { it.isReady && isAlive(it, now) }.map { it.host } }
+    public fun ready(now: MonotonicInstant): List<EntryHost> = view(now).ready
+
+    /** The ready hosts of [region] to which requests are passed on. */
+    public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHost> =
+        PrimaryHosts.of(view(now).ready.filter { it.region == region })
 
     /** Regions other than the own one with a ready host. */
-    public fun reachableRegions(now: MonotonicInstant): Set<RegionName> =
-        ready(now).mapTo(HashSet()) { it.region }.also { it.remove(self.region) }
+    public fun reachableRegions(now: MonotonicInstant): Set<RegionName> = view(now).reachableRegions
+
+    /** How often each known host should hear of this one at [now], which is [busy] if it has requests in progress. */
+    public fun heartbeatIntervals(busy: Boolean, now: MonotonicInstant): Map<EntryHost, Duration> {
+        val current = view(now)
+        val rules = HeartbeatIntervals(self, current.primaries, busy)
+        return current.known.mapNotNull { (host) -> rules.towards(host)?.let { host to it } }.toMap()
+    }
+
+    /** Whether this host is one of the [COLD_SENDERS] of its region that may use [replica] while it is cold. */
+    public fun mayUseCold(replica: ReplicaId, now: MonotonicInstant): Boolean {
+        val own = view(now).primaries.filter { it.region == self.region && it.name != self.name } + self
+        return RendezvousHash.order(replica.value, own) { it.name.value }.take(COLD_SENDERS).any { it == self }
+    }
 
     /**
      * The hosts of [region], or of all regions, that may share a budget at [now], this one included.
@@ -95,20 +122,43 @@
             { it.region == self.region },
             { true },
         )
-        return choices.firstNotNullOfOrNull { choice -> usable.filter(choice).ifEmpty { null } }.orEmpty()
+        val nearest = choices.firstNotNullOfOrNull { choice -> usable.filter(choice).ifEmpty { null } }
+        return PrimaryHosts.of(nearest.orEmpty())
     }
 
     private fun isAlive(entry: Known, now: MonotonicInstant): Boolean =
-        entry.heardAt?.let { now - it <= ALIVE_FOR } ?: false
+        entry.heardAt?.let { now - it <= entry.life } ?: false
+
+    private fun view(now: MonotonicInstant): HostView = synchronized(lock) {
+        val present = view
+        if (present != null && now >= present.at && now - present.at < VIEW_LIFE) return present
+        HostView.of(self, now, known.values.map { KnownHost(it.host, isHeardAt(it, now), isReadyAt(it, now)) })
+            .also { view = it }
+    }
+
+    private fun isHeardAt(entry: Known, now: MonotonicInstant): Boolean =
+        entry.heardAt?.let { now - it < SHARES_FOR } ?: false
 
-    private companion object {
-        /** Silence after which a host is taken to be dead; several heartbeats, as datagrams get lost. */
-        val ALIVE_FOR = 1_500.milliseconds
+    private fun isReadyAt(entry: Known, now: MonotonicInstant): Boolean = entry.isReady && isAlive(entry, now)
+
+    /** Bounds. */
+    public companion object {
+        /** Hosts that share the pace of a cold replica: with one alone, its end would leave the replica unused. */
+        public const val COLD_SENDERS: Int = 3
+
+        /** Silence after which a host is taken to be dead at the soonest; several heartbeats, as datagrams get lost. */
+        private val LEAST_LIFE = 1_500.milliseconds
+
+        /** Heartbeats that may be missed before a host is taken to be dead. */
+        private const val MISSED_HEARTBEATS = 3
 
         /** Silence after which a host no longer counts for shared budgets; longer than a usual cut. */
-        val SHARES_FOR = 15.seconds
+        private val SHARES_FOR = 15.seconds
 
         /** Silence after which a host gets no more heartbeats. */
-        val FORGET_AFTER = 120.seconds
+        private val FORGET_AFTER = 120.seconds
+
+        /** Age up to which a view of all hosts is used again; small against the silence that makes a host dead. */
+        private val VIEW_LIFE = 50.milliseconds
     }
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -20,12 +20,14 @@
  * Rules of placement for a host of [region].
  *
  * @property crossRegionMilliseconds time that a request loses on the way to another region and back.
+ * @property coldUse which cold replicas of the own region this host may use.
  */
 public class Placement(
     private val region: RegionName,
     private val replicas: ReplicaRegistry,
     private val crossRegionMilliseconds: Double,
     private val costs: CostModel = CostModel(),
+    private val coldUse: ColdUse = ColdUse { _, _ -> true },
 ) {
     private val queues = QueueRules(costs)
 
@@ -60,7 +62,7 @@
 
     private fun known(request: PlacementRequest, reachable: Set<RegionName>, now: MonotonicInstant): Known {
         val all = replicas.of(request.service).map { it.outlook(request.parts, now) }
-        val found = all.filter { isPermitted(it, request, reachable) }
+        val found = all.filter { isPermitted(it, request, reachable, now) }
         val usable = found.filterNot { it.isOut }.ifEmpty { lastResort(found) }
         return Known(usable, all.filter { mayHandOver(it, request) }.maxByOrNull { it.cachedTokens })
     }
@@ -74,12 +76,18 @@
     private fun lastResort(resting: List<ReplicaOutlook>): List<ReplicaOutlook> =
         if (resting.size > 1) emptyList() else resting
 
-    private fun isPermitted(outlook: ReplicaOutlook, request: PlacementRequest, reachable: Set<RegionName>): Boolean {
+    private fun isPermitted(
+        outlook: ReplicaOutlook,
+        request: PlacementRequest,
+        reachable: Set<RegionName>,
+        now: MonotonicInstant,
+    ): Boolean {
         val replica = outlook.replica
         if (replica.isDraining || replica.id in request.excluded || replica.zone in request.closedZones) return false
         if (request.homeRegions.isNotEmpty() && replica.region !in request.homeRegions) return false
         if (replica.region != region && (!request.mayForward || replica.region !in reachable)) return false
-        return !outlook.isCold || outlook.mayTakeColdRequest
+        if (!outlook.isCold) return true
+        return replica.region == region && outlook.mayTakeColdRequest && coldUse.permits(replica, now)
     }
 
     private fun candidate(
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RecentReads.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RecentReads.kt
@@ -25,7 +25,7 @@
         if (entries.size > MOST_ENTRIES) entries.removeFirst()
     }
 
-    /** The reads that are news at [now]; each is told in about two heartbeats, as one may be lost. */
+    /** The reads that are news at [now]; each is told in two heartbeats or more, as one may be lost. */
     public fun news(now: MonotonicInstant): List<PromptRead> = synchronized(lock) {
         while (entries.isNotEmpty() && now - entries.first().at > TOLD_FOR) entries.removeFirst()
         entries.map { it.read }
@@ -36,6 +36,6 @@
 
         /** Bounds a heartbeat to a datagram of about a kilobyte. */
         const val MOST_ENTRIES = 20
-        val TOLD_FOR = 600.milliseconds
+        val TOLD_FOR = 1_100.milliseconds
     }
 }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
@@ -6,13 +6,18 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -21,15 +26,23 @@
     private val self = host("self", "north")
     private val hosts = EntryHosts(self)
 
-    private fun host(name: String, region: String, incarnation: Long = 1) = EntryHost(
+    private fun host(name: String, region: String, incarnation: Long = 1, cores: Double = 0.75) = EntryHost(
         HostName(name),
         Incarnation(incarnation),
         ZoneName("$region-a"),
         RegionName(region),
         NetworkAddress("10.0.0.1", 80),
         NetworkAddress("10.0.0.1", 81),
+        cores,
     )
 
+    private fun EntryHosts.heard(
+        host: EntryHost,
+        isReady: Boolean,
+        at: MonotonicInstant,
+        interval: Duration = 250.milliseconds,
+    ): Boolean = heard(host, isReady, interval, at)
+
     private fun names(zone: String, region: String, homes: Set<RegionName> = emptySet(), selfReady: Boolean = true) =
         hosts.directory(ZoneName(zone), RegionName(region), homes, selfReady, now).map { it.name.value }
 
@@ -82,5 +95,116 @@
         expectThat(hosts.sharers(now, RegionName("north"))).isEqualTo(2)
     }
 
-    private operator fun MonotonicInstant.minus(duration: kotlin.time.Duration) = this + (-duration)
+    @Nested
+    inner class `given hosts of unequal size` {
+        private val large = listOf("large-1", "large-2").map { host(it, "south", cores = 1.5) }
+        private val small = (1..10).map { host("small-$it", "south", cores = 0.36) }
+
+        private fun hear(heard: List<EntryHost>) = heard.forEach { hosts.heard(it, isReady = true, now) }
+
+        @Test
+        fun `the large ones take the callers of their zone`() {
+            hear(large + small)
+            expectThat(names("south-a", "south")).containsExactly("large-1", "large-2")
+            expectThat(hosts.primaries(RegionName("south"), now)).isEqualTo(large)
+        }
+
+        @Test
+        fun `small ones stand in for the large ones that are gone`() {
+            hear(listOf(large[0]) + small)
+            expectThat(names("south-a", "south")).containsExactly("large-1")
+            val later = now + 5.seconds
+            small.forEach { hosts.heard(it, isReady = true, later) }
+            expectThat(hosts.directory(ZoneName("south-a"), null, emptySet(), selfReady = true, later)).hasSize(9)
+        }
+
+        @Test
+        fun `equal hosts all take callers up to ample cores`() {
+            hear((1..3).map { host("equal-$it", "south", cores = 0.75) })
+            expectThat(names("south-a", "south")).hasSize(3)
+            hear((4..30).map { host("equal-$it", "south", cores = 0.75) })
+            expectThat(names("south-a", "south")).hasSize(4)
+        }
+    }
+
+    @Nested
+    inner class `given heartbeats` {
+        private fun intervals(busy: Boolean = true) = hosts.heartbeatIntervals(busy, now).mapKeys { it.key.name.value }
+
+        @Test
+        fun `hosts that share replicas tell each other most often`() {
+            hosts.heard(host("near", "north"), isReady = true, now)
+            hosts.heard(host("far", "south"), isReady = true, now)
+            expectThat(intervals()).isEqualTo(mapOf("near" to 250.milliseconds, "far" to 500.milliseconds))
+        }
+
+        @Test
+        fun `a host that stands by tells primary ones of its own region and few others`() {
+            listOf("large-1", "large-2").forEach { name ->
+                hosts.heard(host(name, "north", cores = 1.5), isReady = true, now)
+                hosts.heard(host("far-$name", "south", cores = 1.5), isReady = true, now)
+            }
+            hosts.heard(host("other", "north", cores = 0.3), isReady = true, now)
+            expectThat(intervals(busy = false)).isEqualTo(mapOf("large-1" to 1.seconds, "large-2" to 1.seconds))
+        }
+
+        @Test
+        fun `hosts that stand by tell each other when the primary ones are gone`() {
+            val large = host("large-1", "north", cores = 1.5)
+            val other = host("other", "north", cores = 0.3)
+            val standby = EntryHosts(host("standby", "north", cores = 0.3))
+            standby.heard(large, isReady = true, now)
+            standby.listed(other)
+            expectThat(standby.heartbeatIntervals(busy = false, now)).isEqualTo(mapOf(large to 1.seconds))
+            standby.heard(other, isReady = true, now + 3.seconds)
+            val later = now + 4.seconds
+            expectThat(standby.heartbeatIntervals(busy = false, later)[other]).isEqualTo(250.milliseconds)
+        }
+
+        @Test
+        fun `a host that announces long pauses is taken to be dead later`() {
+            hosts.heard(host("rare", "north"), isReady = true, now, interval = 2.seconds)
+            hosts.heard(host("often", "north"), isReady = true, now)
+            expectThat(hosts.ready(now + 2.seconds).map { it.name.value }).containsExactly("rare")
+            expectThat(hosts.ready(now + 7.seconds)).isEmpty()
+        }
+
+        @Test
+        fun `what 400 hosts in 21 zones of 9 regions send stays within two kilobytes a second where they stand by`() {
+            repeat(399) { number ->
+                val zone = number % 21
+                val placed = host("host-$number", "region-${zone % 9}").copy(zone = ZoneName("zone-$zone"))
+                hosts.heard(placed, isReady = true, now)
+            }
+            val standby = host("zz-standby", "region-3").copy(zone = ZoneName("zone-3"))
+            val view = EntryHosts(standby).apply { hosts.all().forEach { heard(it, isReady = true, now) } }
+            val perSecond = view.heartbeatIntervals(busy = false, now).values.sumOf { 1.seconds / it }
+            expectThat(perSecond * BYTES_OF_A_HEARTBEAT).isLessThan(2_000.0)
+        }
+    }
+
+    @Nested
+    inner class `given cold replicas` {
+        @Test
+        fun `three hosts of the region use one, and they agree which`() {
+            val all = (1..20).map { host("host-$it", "north", cores = 0.1) }
+            val users = all.filter { user ->
+                val view = EntryHosts(user).apply { (all - user).forEach { heard(it, isReady = true, now) } }
+                view.mayUseCold(ReplicaId("i-1"), now)
+            }
+            expectThat(users).hasSize(3)
+        }
+
+        @Test
+        fun `a host that knows no other uses it`() {
+            expectThat(hosts.mayUseCold(ReplicaId("i-1"), now)).isTrue()
+        }
+    }
+
+    private operator fun MonotonicInstant.minus(duration: Duration) = this + (-duration)
+
+    private companion object {
+        /** An encoded heartbeat without activity. */
+        const val BYTES_OF_A_HEARTBEAT = 130
+    }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.entry.EntryHosts
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.replica.AttemptResult
 import org.buckthornwheel.decision.replica.ReplicaLoad
@@ -186,12 +187,11 @@
         state.end(work, result, now - startedAt, now)
     }
 
-    /** The hosts of the region share the pace at which a cold replica may be used. */
+    /** Some hosts of the region share the pace at which a cold replica may be used. */
     private fun coldPause(): Duration {
         val rate = context.beliefs.manifest?.services?.get(exchange.terms.service)?.coldRequestsPerSecond ?: 0.0
         if (rate <= 0) return Duration.ZERO
-        val sharers = context.hosts.sharers(startedAt, context.self.region)
-        return 1.seconds * (sharers / rate)
+        return 1.seconds * (EntryHosts.COLD_SENDERS / rate)
     }
 
     private fun log(event: String, fields: kotlinx.serialization.json.JsonObjectBuilder.() -> Unit) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -15,6 +15,7 @@
 import org.buckthornwheel.decision.entry.EntryHosts
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.replica.RecentReads
+import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
@@ -76,7 +77,12 @@
         dialect = dialect,
         knowledge = Knowledge(beliefs, replicas, reads),
         hosts = hosts,
-        placement = Placement(settings.self.region, replicas, CROSS_REGION_MILLISECONDS),
+        placement = Placement(
+            settings.self.region,
+            replicas,
+            CROSS_REGION_MILLISECONDS,
+            coldUse = { replica, now -> !isPaced(replica) || hosts.mayUseCold(replica.id, now) },
+        ),
         budget = WindowedRetryBudget(
             settings.retryRatio,
             settings.retryAllowance,
@@ -136,7 +142,7 @@
         front.isDraining = true
         peers.isDraining = true
         log.write(LogPart.HOST, "stopping") { put("connections", front.size) }
-        loops.next().execute(heartbeats::send)
+        loops.next().execute(heartbeats::sendToAll)
         while (clock.now() - begin < settings.shutdownGrace) {
             Thread.sleep(STOP_STEP.inWholeMilliseconds)
             val isForgotten = clock.now() - begin > settings.directoryLife + LEAVE_SLACK
@@ -158,6 +164,10 @@
 
     private fun peerStarter(loop: EventLoop): RequestStarter = PeerEntry(context, pool(loop))
 
+    /** Whether the service of [replica] bounds the requests that a cold one gets. */
+    private fun isPaced(replica: Replica): Boolean =
+        (beliefs.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
+
     private fun headerBytes(): Int = beliefs.manifest?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES
 
     private fun callerLimits(): FrontLimits {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -1,5 +1,7 @@
 /*
  * Heartbeats between hosts: who is alive, who takes callers, and what each has in flight at each replica.
+ *
+ * Fields are told apart by small numbers, as names would make up most of a datagram. A new field gets a new number.
  */
 
 package org.buckthornwheel.forwarding.membership
@@ -8,6 +10,8 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborArray
+import kotlinx.serialization.cbor.CborLabel
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.buckthornwheel.api.HostName
@@ -18,57 +22,84 @@
 import org.buckthornwheel.decision.entry.EntryHost
 
 /** Work of the sending host at one replica. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
+@CborArray
 internal data class ReplicaWork(val replica: String, val requests: Int, val tokens: Long, val prefillTokens: Long)
 
 /** A part of a prompt. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
+@CborArray
 internal data class ReadPart(val id: String, val tokens: Int)
 
 /** Shared parts that the sender had a replica read lately. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
+@CborArray
 internal data class ReplicaRead(val replica: String, val parts: List<ReadPart>)
 
+/** The sender as it describes itself; [cores] is the processor that it may use. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal data class SenderDescription(
+    @CborLabel(1) val name: HostName,
+    @CborLabel(2) val incarnation: Incarnation,
+    @CborLabel(3) val zone: ZoneName,
+    @CborLabel(4) val region: RegionName,
+    @CborLabel(5) val callerAddress: NetworkAddress,
+    @CborLabel(6) val peerAddress: NetworkAddress,
+    @CborLabel(7) val cores: Double,
+) {
+    val host: EntryHost get() = EntryHost(name, incarnation, zone, region, callerAddress, peerAddress, cores)
+
+    companion object {
+        fun of(host: EntryHost): SenderDescription = SenderDescription(
+            host.name,
+            host.incarnation,
+            host.zone,
+            host.region,
+            host.callerAddress,
+            host.peerAddress,
+            host.cores,
+        )
+    }
+}
+
+/**
+ * What the sender is doing.
+ *
+ * @property work what it has in flight; replicas that are not named have nothing.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+internal data class Activity(@CborLabel(1) val work: List<ReplicaWork>, @CborLabel(2) val reads: List<ReplicaRead>)
+
 /**
  * One heartbeat.
  *
  * @property isReady whether the sender takes callers.
- * @property work what it has in flight; replicas that are not named have nothing.
+ * @property intervalMilliseconds time until the next one to the same receiver.
+ * @property activity what the sender is doing; null if the receiver has no use for it.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal data class Heartbeat(
-    val name: HostName,
-    val incarnation: Incarnation,
-    val zone: ZoneName,
-    val region: RegionName,
-    val callerAddress: NetworkAddress,
-    val peerAddress: NetworkAddress,
-    val isReady: Boolean,
-    val work: List<ReplicaWork>,
-    val reads: List<ReplicaRead>,
+    @CborLabel(1) val sender: SenderDescription,
+    @CborLabel(2) val isReady: Boolean,
+    @CborLabel(3) val intervalMilliseconds: Long,
+    @CborLabel(4) val activity: Activity? = null,
 ) {
-    val host: EntryHost get() = EntryHost(name, incarnation, zone, region, callerAddress, peerAddress)
-
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = CODEC.encodeToByteArray(this)
 
     /** Encoding. */
     @OptIn(ExperimentalSerializationApi::class)
     companion object {
-        private val CODEC = Cbor { ignoreUnknownKeys = true }
-
-        fun of(host: EntryHost, isReady: Boolean, work: List<ReplicaWork>, reads: List<ReplicaRead>): Heartbeat =
-            Heartbeat(
-                name = host.name,
-                incarnation = host.incarnation,
-                zone = host.zone,
-                region = host.region,
-                callerAddress = host.callerAddress,
-                peerAddress = host.peerAddress,
-                isReady = isReady,
-                work = work,
-                reads = reads,
-            )
+        private val CODEC = Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
 
         /** Reads a datagram; null if it is no heartbeat. */
         fun decode(bytes: ByteArray): Heartbeat? = try {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -10,7 +10,9 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.serialization.json.put
+import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.entry.EntryHosts
@@ -23,6 +25,9 @@
 import org.buckthornwheel.forwarding.observability.LogPart
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Sends this host's heartbeats to all known hosts and takes in theirs. */
 internal class HeartbeatExchange(
@@ -35,6 +40,7 @@
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
+    private val description = SenderDescription.of(self)
     private lateinit var channel: Channel
     private var rounds = 0
 
@@ -45,18 +51,48 @@
         channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
-    /** Sends one heartbeat to each known host now. */
+    /** Sends one heartbeat to each host that should hear of this one now. */
     fun send() {
-        val bytes = Heartbeat.of(self, isReady(), ownWork(), ownReads()).encode()
-        val known = hosts.all().mapTo(LinkedHashSet()) { it.peerAddress }
-        if (rounds++ % INTRODUCTION_ROUNDS == 0) known += introductions
-        known -= self.peerAddress
-        for (address in known) {
-            val receiver = InetSocketAddress(address.host, address.port)
-            channel.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver))
+        val now = clock.now()
+        val work = ownWork()
+        val activity = Activity(work, ownReads(now))
+        val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
+        for ((host, interval) in intervals) {
+            if (isDue(host, interval)) send(host, interval, activity.takeIf { interval <= ACTIVITY_INTERVAL })
         }
+        if (rounds % INTRODUCTION_ROUNDS == 0) introduce(intervals.keys.mapTo(HashSet()) { it.peerAddress })
+        rounds += 1
         channel.flush()
-        hosts.forgetOld(clock.now())
+        hosts.forgetOld(now)
+    }
+
+    /** Tells all known hosts at once, as the host is about to leave. */
+    fun sendToAll() {
+        for (host in hosts.all()) send(host, LEAVING_INTERVAL, activity = null)
+        channel.flush()
+    }
+
+    private fun isDue(host: EntryHost, interval: Duration): Boolean {
+        val every = maxOf(1, (interval.inWholeMilliseconds / INTERVAL_MILLISECONDS).toInt())
+        return (rounds + Math.floorMod(host.name.value.hashCode(), every)) % every == 0
+    }
+
+    private fun introduce(told: Set<NetworkAddress>) {
+        for (address in introductions) {
+            if (address !in told && address != self.peerAddress) write(address, beat(INTRODUCTION_INTERVAL, null))
+        }
+    }
+
+    private fun send(host: EntryHost, interval: Duration, activity: Activity?) {
+        write(host.peerAddress, beat(interval, activity))
+    }
+
+    private fun beat(interval: Duration, activity: Activity?): Heartbeat =
+        Heartbeat(description, isReady(), interval.inWholeMilliseconds, activity)
+
+    private fun write(address: NetworkAddress, beat: Heartbeat) {
+        val receiver = InetSocketAddress(address.host, address.port)
+        channel.write(DatagramPacket(Unpooled.wrappedBuffer(beat.encode()), receiver))
     }
 
     private fun ownWork(): List<ReplicaWork> = replicas.all().mapNotNull { state ->
@@ -65,23 +101,27 @@
         ReplicaWork(state.current.id.value, load.requests, load.tokens, load.prefillTokens)
     }
 
-    private fun ownReads(): List<ReplicaRead> = reads.news(clock.now()).map { read ->
+    private fun ownReads(now: MonotonicInstant): List<ReplicaRead> = reads.news(now).map { read ->
         ReplicaRead(read.replica.value, read.parts.map { ReadPart(it.id, it.tokens) })
     }
 
     private fun receive(beat: Heartbeat) {
         val now = clock.now()
-        if (hosts.heard(beat.host, beat.isReady, now)) {
+        if (hosts.heard(beat.sender.host, beat.isReady, beat.intervalMilliseconds.milliseconds, now)) {
             log.write(LogPart.MEMBERSHIP, "host alive") {
-                put("peer", beat.name.value)
-                put("incarnation", beat.incarnation.value)
+                put("peer", beat.sender.name.value)
+                put("incarnation", beat.sender.incarnation.value)
             }
         }
-        val loads = beat.work.associate { work ->
+        beat.activity?.let { take(beat.sender.name, it, now) }
+    }
+
+    private fun take(sender: HostName, activity: Activity, now: MonotonicInstant) {
+        val loads = activity.work.associate { work ->
             ReplicaId(work.replica) to ReplicaLoad(work.requests, work.tokens, work.prefillTokens)
         }
-        replicas.reported(beat.name, loads, now)
-        for (read in beat.reads) {
+        replicas.reported(sender, loads, now)
+        for (read in activity.reads) {
             replicas.find(ReplicaId(read.replica))?.hasRead(read.parts.map { PromptPart(it.id, it.tokens) })
         }
     }
@@ -103,10 +143,17 @@
     }
 
     private companion object {
-        /** Pause between heartbeats: a fifth of the silence after which a host counts as dead. */
+        /** Pause between two rounds: a sixth of the silence after which a host counts as dead. */
         const val INTERVAL_MILLISECONDS = 250L
 
-        /** Each so many heartbeats also go to the addresses of the settings. */
+        /** Each so many rounds the addresses of the settings are told too, if they are not known hosts. */
         const val INTRODUCTION_ROUNDS = 4
+        val INTRODUCTION_INTERVAL = 1.seconds
+
+        /** Hosts that are told less often do not share replicas with this one. */
+        val ACTIVITY_INTERVAL = 500.milliseconds
+
+        /** Announced by a host that leaves; it goes on sending while it serves. */
+        val LEAVING_INTERVAL = 1.seconds
     }
 }
