A replica that keeps a prompt is preferred to one that would fetch it, up to 80 ms

A fetch was counted as its time alone, about 17 ms, so the smallest difference in load moved half a gigabyte and pushed other prompts out of a memory. Change: a candidate that would have to fetch costs 80 ms more; its predicted begin stays what it is. Test: PlacementTest, a keeper with three of four slots taken is chosen before an idle replica.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
@@ -7,6 +7,9 @@
  *
  * The figures of engines come from the users' sheets: prompt tokens read in a millisecond, time to the first token of
  * an idle engine, bytes of a token over the engines' link. Times in milliseconds.
+ *
+ * @property detourMilliseconds wait at the replica that keeps a prompt that is preferred to moving the prompt: half a
+ *   gigabyte goes over the engines' link, and pushes other prompts out of the memory at its end.
  */
 public data class CostModel(
     public val prefillTokensPerMillisecond: Double = 112.0,
@@ -14,6 +17,7 @@
     public val defaultServiceMilliseconds: Double = 300.0,
     public val fetchSetupMilliseconds: Double = 10.0,
     public val fetchedTokensPerMillisecond: Double = 2_000.0,
+    public val detourMilliseconds: Double = 80.0,
 ) {
     /** The time until an answer begins at the replica of [outlook], with [missingTokens] of the prompt to be read. */
     internal fun beginMilliseconds(outlook: ReplicaOutlook, missingTokens: Int): Double {
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -85,9 +85,8 @@
         val replica = outlook.replica
         if (replica.isDraining || replica.id in request.excluded || replica.zone in request.closedZones) return false
         if (request.homeRegions.isNotEmpty() && replica.region !in request.homeRegions) return false
-        if (replica.region != region && (!request.mayForward || replica.region !in reachable)) return false
-        if (!outlook.isCold) return true
-        return replica.region == region && outlook.mayTakeColdRequest && coldUse.permits(replica, now)
+        if (replica.region != region) return request.mayForward && replica.region in reachable && !outlook.isCold
+        return !outlook.isCold || (outlook.mayTakeColdRequest && coldUse.permits(replica, now))
     }
 
     private fun candidate(
@@ -105,8 +104,9 @@
         val begin = costs.beginMilliseconds(outlook, missing) + fetch
         val way = if (outlook.replica.region == region) 0.0 else crossRegionMilliseconds
         val crowding = outlook.load.requests * CROWDING_MILLISECONDS / maxOf(1, outlook.replica.slots)
+        val detour = if (fetches) costs.detourMilliseconds else 0.0
         val source = keeper?.replica.takeIf { fetches }
-        return Candidate(outlook, missing, begin + way, begin + way + crowding, source)
+        return Candidate(outlook, missing, begin + way, begin + way + crowding + detour, source)
     }
 
     private fun sharedTokens(request: PlacementRequest): Int = request.parts.dropLast(1).sumOf { it.tokens }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -156,6 +156,15 @@
             }
         }
 
+        @Test
+        fun `a replica that keeps it and has free slots is preferred to an idle one that would fetch it`() {
+            add("a")
+            add("b")
+            keep("a")
+            occupy("a", 3)
+            expectThat(choose(request(parts)).replica()).isEqualTo("a")
+        }
+
         @Test
         fun `it does not leave the regions that may keep it`() {
             add("a")
