--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -73,6 +73,9 @@
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHost> =
         PrimaryHosts.of(view(now).ready.filter { it.region == region })
 
+    /** Whether this host is one of those that take the callers of its zone. */
+    public fun isPrimary(now: MonotonicInstant): Boolean = self in view(now).primaries
+
     /** Regions other than the own one with a ready host. */
     public fun reachableRegions(now: MonotonicInstant): Set<RegionName> = view(now).reachableRegions
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
@@ -30,7 +30,7 @@
             )
         }
 
-        /** Where no host of a zone is known to be ready, those that were not heard lately may be: they may stand by, and tell this one nothing. */
+        /** Where no host of a zone is known to be ready, one that was not heard lately may stand by. */
         private fun primaries(self: EntryHost, known: List<KnownHost>): Set<EntryHost> {
             val zones = (known + KnownHost(self, isHeard = true, isReady = true)).groupBy { it.host.zone }
             return zones.values.flatMapTo(HashSet()) { hosts ->
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -113,6 +113,9 @@
     /** Whether the host takes callers: it knows what to serve and is not leaving. */
     public val isReady: Boolean get() = !isLeaving && beliefs.manifest != null && replicas.size > 0
 
+    /** Whether the host is one that takes the callers of its zone, or has some that stayed. */
+    public val isPrimary: Boolean get() = hosts.isPrimary(clock.now()) || front.size > 0
+
     /** Opens all listeners. */
     public fun start() {
         val open = Listeners(loops)
