Hosts that stand by pass requests of other regions on to hosts that the store lists

Change: such a host takes the primary hosts that the store lists there on trust; a connection that fails leads to the next one. A primary host still relies on heartbeats alone. Test: EntryHostsTest (one new).

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -69,14 +69,14 @@
     /** Hosts that are alive and ready at [now]. */
     public fun ready(now: MonotonicInstant): List<EntryHost> = view(now).ready
 
-    /** The ready hosts of [region] to which requests are passed on. */
+    /** The hosts of [region] to which requests are passed on. */
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHost> =
-        PrimaryHosts.of(view(now).ready.filter { it.region == region })
+        view(now).primaries.filter { it.region == region }
 
     /** Whether this host is one of those that take the callers of its zone. */
     public fun isPrimary(now: MonotonicInstant): Boolean = self in view(now).primaries
 
-    /** Regions other than the own one with a ready host. */
+    /** Regions other than the own one with a host that may take requests. */
     public fun reachableRegions(now: MonotonicInstant): Set<RegionName> = view(now).reachableRegions
 
     /** How often each known host should hear of this one at [now], which is [busy] if it has requests in progress. */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
@@ -21,15 +21,26 @@
     companion object {
         fun of(self: EntryHost, at: MonotonicInstant, known: List<KnownHost>): HostView {
             val ready = known.filter { it.isReady }.map { it.host }
+            val primaries = primaries(self, known)
             return HostView(
                 at = at,
                 known = known,
                 ready = ready,
-                reachableRegions = ready.mapTo(HashSet()) { it.region } - self.region,
-                primaries = primaries(self, known),
+                reachableRegions = reachableRegions(self, ready, primaries),
+                primaries = primaries,
             )
         }
 
+        /** A host that stands by hears nothing of other regions: it takes the hosts that should be there on trust. */
+        private fun reachableRegions(
+            self: EntryHost,
+            ready: List<EntryHost>,
+            primaries: Set<EntryHost>,
+        ): Set<RegionName> {
+            val hosts = if (self in primaries) ready else ready + primaries
+            return hosts.mapTo(HashSet()) { it.region } - self.region
+        }
+
         /** Where no host of a zone is known to be ready, one that was not heard lately may stand by. */
         private fun primaries(self: EntryHost, known: List<KnownHost>): Set<EntryHost> {
             val zones = (known + KnownHost(self, isHeard = true, isReady = true)).groupBy { it.host.zone }
