Repeats use nearly the whole budget that goes with requests

That margin was meant for hosts that are not heard, but the part that goes with a host's own requests holds whatever hosts there are; only the fixed allowance depends on their number. Change: 0.95 of the ratio, 0.7 of the allowance. Test: WindowedRetryBudgetTest (one new; the bound over nine hosts as before).

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudgetTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudgetTest.kt
@@ -6,12 +6,14 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 internal class WindowedRetryBudgetTest {
     private val service = ServiceName("ledger")
     private val start = MonotonicInstant(0)
-    private val budget = WindowedRetryBudget(ratio = 0.2, allowance = 40.0, window = 10.seconds, safety = 1.0)
+    private val budget =
+        WindowedRetryBudget(ratio = 0.2, allowance = 40.0, window = 10.seconds, ratioShare = 1.0, allowanceShare = 1.0)
 
     private fun spendAll(hosts: Int, at: MonotonicInstant): Int =
         generateSequence { budget.spend(service, hosts, at) }.takeWhile { it }.count()
@@ -32,10 +34,21 @@
     fun `all hosts together stay within the budget while a service fails`() {
         val hosts = 9
         val total = (1..hosts).sumOf {
-            val own = WindowedRetryBudget(0.2, 40.0, 10.seconds, safety = 0.7)
+            val own = WindowedRetryBudget(0.2, 40.0, 10.seconds, ratioShare = 0.95, allowanceShare = 0.7)
             repeat(100) { own.request(service, start) }
             generateSequence { own.spend(service, hosts, start) }.takeWhile { it }.count()
         }
         expectThat(total <= 0.2 * hosts * 100 + 40).isTrue()
     }
+
+    @Test
+    fun `nearly the whole ratio is used while nearly half of the answers fail`() {
+        val own = WindowedRetryBudget(0.2, 40.0, 10.seconds, ratioShare = 0.95, allowanceShare = 0.7)
+        val repeated = (0 until 1_000).count { number ->
+            val now = start + 5.milliseconds * number
+            own.request(service, now)
+            number % 9 < 4 && own.spend(service, hosts = 76, now)
+        }
+        expectThat(repeated).isEqualTo(190)
+    }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -87,7 +87,8 @@
             settings.retryRatio,
             settings.retryAllowance,
             settings.retryWindow,
-            RETRY_SAFETY,
+            RETRY_RATIO_SHARE,
+            RETRY_ALLOWANCE_SHARE,
         ),
         observability = Observability(log, meters),
         clock = clock,
@@ -191,8 +192,11 @@
         /** Both ways between two regions, from the users' sheets (55 ms one way), and a little for the extra hop. */
         const val CROSS_REGION_MILLISECONDS = 118.0
 
-        /** Share of the retry budget that is used; the rest covers hosts that are not heard. */
-        const val RETRY_SAFETY = 0.7
+        /** Share of the repeats for each request that is used; a little covers requests that end between windows. */
+        const val RETRY_RATIO_SHARE = 0.95
+
+        /** Share of the fixed allowance of repeats that is used; the rest covers hosts that are not heard. */
+        const val RETRY_ALLOWANCE_SHARE = 0.7
         const val OK = 200
 
         /** Bounds before a manifest is known. */
