What another region rejects unsent looks for a place once more

A request that the other region could not place was rejected at once, though no replica had got it and the own region or a third one might have a place by then. Change: a host tells whether a rejected request reached a replica. If it did not, the sender places it again without the regions that rejected it; each region is asked once at most, and nothing is held longer than before. Test: PeerForwardingTest (one new).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -17,6 +17,8 @@
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.overload.ReturnTime
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
@@ -50,6 +52,7 @@
 
     private val excluded = HashSet<ReplicaId>()
     private val unreachableHosts = HashSet<String>()
+    private val rejectingRegions = HashSet<RegionName>()
     private var attempt: Attempt? = null
     private var attempts = 0
     private var possibleRuns = 0
@@ -82,8 +85,8 @@
         if (isDone) return
         val now = context.clock.now()
         if (terms.end <= now) return onEnd()
-        val decision = context.placement.choose(placementRequest(now), context.hosts.reachableRegions(now), now)
-        when (decision) {
+        val reachable = context.hosts.reachableRegions(now) - rejectingRegions
+        when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
             is PlacementDecision.Local -> sendToReplica(decision, now)
             is PlacementDecision.Forward -> forward(decision, now)
             is PlacementDecision.Full -> waitOrReject(decision.wait, now)
@@ -156,20 +159,28 @@
         place()
     }
 
-    /** The target certainly did not run the request. */
-    fun onNotRun(replica: ReplicaId?, peer: String?, counts: Boolean, retryAfter: Duration?) {
-        replica?.let { excluded += it }
-        peer?.let { unreachableHosts += it }
+    /** The replica certainly did not run the request; [counts] tells whether it was the right one. */
+    fun onNotRun(replica: ReplicaId, counts: Boolean) {
+        excluded += replica
         attempt = null
         possibleRuns -= 1
         if (!counts) {
-            attempts = maxOf(0, attempts - 1)
+            attempts -= 1
             return place()
         }
-        if (peer != null) return giveUp("rejected by $peer", retryAfter ?: NO_REPLICA_WAIT)
         if (attempts < terms.maximumAttempts) place() else giveUp("refused by replicas", REFUSED_WAIT)
     }
 
+    /** The [host] of another region has no place: what no replica got may still find one in a third region, or here. */
+    fun onPeerRejected(host: EntryHost, outcome: PeerOutcome, retryAfter: Duration?) {
+        attempt = null
+        possibleRuns -= 1
+        if (outcome == PeerOutcome.NOT_RUN) return giveUp("refused in ${host.region}", retryAfter ?: NO_REPLICA_WAIT)
+        attempts -= 1
+        rejectingRegions += host.region
+        place()
+    }
+
     /** The attempt failed and may have run; [status] is the gateway's answer unless it may be repeated. */
     fun onFailed(replica: ReplicaId?, peer: String?, reason: String, status: HttpResponseStatus) {
         replica?.let { excluded += it }
@@ -271,11 +282,13 @@
         finish(status.code(), reason)
         val headers = DefaultHttpHeaders()
         context.dialect.writeOwnAnswer(headers, facts.id)
-        if (!mayHaveRun && !terms.mayForward) PeerEnvelope.markNotRun(headers)
+        if (!mayHaveRun && !terms.mayForward) PeerEnvelope.mark(headers, ownOutcome())
         retryAfter?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it.toDouble(DurationUnit.SECONDS))) }
         sink.answer(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
+    private fun ownOutcome(): PeerOutcome = if (attempts == 0) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
+
     private fun finish(status: Int, reason: String) {
         isDone = true
         fallback?.discard()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -27,7 +27,7 @@
     TargetListener {
     private var connection: TargetConnection? = null
     private var relay: AnswerRelay? = null
-    private var isNotRun = false
+    private var outcome: PeerOutcome? = null
     private var retryAfterSeconds: Double? = null
     private var isOver = false
 
@@ -59,7 +59,7 @@
 
     override fun onHead(head: HttpResponse) {
         if (isOver) return
-        isNotRun = PeerEnvelope.isMarkedNotRun(head.headers())
+        outcome = PeerEnvelope.outcome(head.headers())
         retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()
         PeerEnvelope.remove(head.headers())
         relay = AnswerRelay(exchange, head)
@@ -75,9 +75,9 @@
         isOver = true
         connection = null
         val answer = relay ?: return
-        if (!isNotRun) return answer.complete()
+        val rejection = outcome ?: return answer.complete()
         answer.discard()
-        exchange.onNotRun(null, host.name.value, counts = true, retryAfterSeconds?.seconds)
+        exchange.onPeerRejected(host, rejection, retryAfterSeconds?.seconds)
     }
 
     override fun onBroken(reason: String) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -19,6 +19,15 @@
 import java.util.Base64
 import kotlin.time.Duration.Companion.milliseconds
 
+/** How a request that was certainly not run ended at the host of another region. */
+internal enum class PeerOutcome(val text: String) {
+    /** No replica got it. */
+    NOT_SENT("not-sent"),
+
+    /** Replicas got it and refused. */
+    NOT_RUN("not-run"),
+}
+
 /** The terms of a request on its way to another region; times in milliseconds. */
 @Serializable
 internal data class PeerEnvelope(
@@ -54,7 +63,6 @@
     companion object {
         private const val HEADER = "Gateway-Envelope"
         private const val OUTCOME_HEADER = "Gateway-Outcome"
-        private const val NOT_RUN = "not-run"
 
         /** The envelope for the rest of a request under [terms]. */
         fun of(terms: RequestTerms, attemptsLeft: Int, now: MonotonicInstant): PeerEnvelope = PeerEnvelope(
@@ -94,10 +102,12 @@
         }
 
         /** Tells the sending host that the request was certainly not run. */
-        fun markNotRun(headers: HttpHeaders) {
-            headers.set(OUTCOME_HEADER, NOT_RUN)
+        fun mark(headers: HttpHeaders, outcome: PeerOutcome) {
+            headers.set(OUTCOME_HEADER, outcome.text)
         }
 
-        fun isMarkedNotRun(headers: HttpHeaders): Boolean = headers.get(OUTCOME_HEADER) == NOT_RUN
+        /** What the other host says of a request that was not run; null if it may have run. */
+        fun outcome(headers: HttpHeaders): PeerOutcome? =
+            PeerOutcome.entries.firstOrNull { it.text == headers.get(OUTCOME_HEADER) }
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -163,7 +163,7 @@
         answer.discard()
         context.meters.refused()
         end(if (counts) AttemptResult.REFUSED else AttemptResult.BROKEN)
-        exchange.onNotRun(decision.replica.id, null, counts, null)
+        exchange.onNotRun(decision.replica.id, counts)
     }
 
     private fun broken(reason: String) {
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -77,6 +77,18 @@
         expectThat(replica.requests.size).isEqualTo(0)
     }
 
+    @Test
+    fun `a request that another region rejects unsent is served by the own one if it has a place by then`() {
+        val replica = southern(answering())
+        south.process.replicas.remove(ReplicaId("s1"))
+        north.caller().use { caller ->
+            caller.request("POST", "/patient/x", "q1", "question")
+            Thread.sleep(20)
+            north.add("n1", replica, region = "north")
+            expectThat(caller.answer()).isNotNull().get { status }.isEqualTo(200)
+        }
+    }
+
     @Test
     fun `work in the other region is cancelled when the caller leaves`() {
         val isCancelled = AtomicBoolean()
