--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
@@ -111,7 +111,7 @@
         }
 
         @Test
-        fun `one that stands by passes requests on to listed hosts of other regions, a primary one only to heard ones`() {
+        fun `one that stands by passes requests on to hosts that are only listed, a primary one does not`() {
             val far = host("far", "south", cores = 1.5)
             hosts.listed(far)
             expectThat(hosts.reachableRegions(now)).isEmpty()
