Plain services queue up to half the target latency; replicas' own load figures are read

Its queue was bounded by a wait that counted itself: the average service time held the wait behind the requests ahead, so a queue halved the places that were permitted. Ruled out: more tries (a refusal by replicas was rare), priorities (one class of priority each on that service). Change: the wait behind requests ahead is taken out of the average; a plain service, whose requests take about as long each, may keep half of the target latency (engines stay at a quarter), at most three times its slots. A replica's own figure of its load, which comes with each answer, goes before the reports of other hosts for 150 ms.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/QueueRules.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/QueueRules.kt
@@ -21,21 +21,29 @@
     }
 
     private fun queue(outlook: ReplicaOutlook, request: PlacementRequest): Int {
-        val waitShare = if (request.isUrgent) URGENT_WAIT else USUAL_WAIT
+        val isPlain = outlook.tokenCapacity <= 0
+        val waitShare = if (isPlain) PLAIN_WAIT else engineWaitShare(request)
         val longestWait = request.targetLatency.toDouble(DurationUnit.MILLISECONDS) * waitShare
         val places = (longestWait / maxOf(1.0, costs.slotWaitMilliseconds(outlook))).toInt()
-        return minOf(places, (outlook.replica.slots * LONGEST_QUEUE).toInt())
+        val longestQueue = if (isPlain) LONGEST_PLAIN_QUEUE else LONGEST_QUEUE
+        return minOf(places, (outlook.replica.slots * longestQueue).toInt())
     }
 
+    private fun engineWaitShare(request: PlacementRequest): Double = if (request.isUrgent) URGENT_WAIT else USUAL_WAIT
+
     private companion object {
         /** Share of a replica's memory that requests may fill; the rest absorbs what other hosts send meanwhile. */
         const val MEMORY_SHARE = 0.92
 
-        /** Wait in a replica's queue, as a share of the target latency. */
+        /** Wait in an engine's queue, as a share of the target latency; prompts ahead may take long to read. */
         const val USUAL_WAIT = 0.25
         const val URGENT_WAIT = 0.4
 
+        /** The same at a plain service, whose requests take about as long each and need no more than a slot. */
+        const val PLAIN_WAIT = 0.5
+
         /** Longest queue as a share of the slots; replicas of the users' sheets queue three to four times as many. */
         const val LONGEST_QUEUE = 2.0
+        const val LONGEST_PLAIN_QUEUE = 3.0
     }
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -49,6 +49,10 @@
     private var coldUntil: MonotonicInstant? = null
     private var nextColdSend: MonotonicInstant? = null
     private var waitingSince: MonotonicInstant? = null
+    private var told: ToldLoad? = null
+
+    /** Requests of other hosts, as an answer of the replica told. */
+    private class ToldLoad(val requestsOfOthers: Int, val at: MonotonicInstant)
 
     private class HostReport(val load: ReplicaLoad, val heardAt: MonotonicInstant)
 
@@ -84,6 +88,11 @@
         if (load.requests == 0) reportedByHosts.remove(host) else reportedByHosts[host] = HostReport(load, now)
     }
 
+    /** The replica told with an answer that it has [requests] from all hosts; newer than what hosts tell each other. */
+    public fun told(requests: Int, now: MonotonicInstant): Unit = synchronized(lock) {
+        told = ToldLoad(maxOf(0, requests - own.requests), now)
+    }
+
     /** Another host had the replica read [parts]. */
     public fun hasRead(parts: List<PromptPart>): Unit = synchronized(lock) { cache.remember(parts) }
 
@@ -121,8 +130,8 @@
             slowness = smoothed(slowness, ratio.coerceIn(LEAST_SLOWNESS, GREATEST_SLOWNESS))
         }
 
-    /** Counts the end of a request that held [work] for [took]. */
-    public fun end(work: ReplicaLoad, result: AttemptResult, took: Duration, now: MonotonicInstant): Unit =
+    /** Counts the end of a request that held [work] for [took], and found [ahead] requests when it was sent. */
+    public fun end(work: ReplicaLoad, result: AttemptResult, took: Duration, ahead: Int, now: MonotonicInstant): Unit =
         synchronized(lock) {
             own = ReplicaLoad(
                 maxOf(0, own.requests - work.requests),
@@ -131,17 +140,20 @@
             )
             waitingSince = if (own.requests == 0) null else now
             when (result) {
-                AttemptResult.ANSWERED -> answered(took)
+                AttemptResult.ANSWERED -> answered(took, ahead)
                 AttemptResult.REFUSED -> refusedUntil = now + REFUSAL_PAUSE
                 AttemptResult.ERROR, AttemptResult.BROKEN -> failed(now)
                 AttemptResult.ABANDONED -> Unit
             }
         }
 
-    private fun answered(took: Duration) {
+    /** The average is that of a slot's use: the wait behind requests that were ahead is not part of it. */
+    private fun answered(took: Duration, ahead: Int) {
         failures = 0
-        val average = averageService ?: took
-        averageService = average + (took - average) * SMOOTHING
+        val slots = maxOf(1, replica.slots)
+        val service = took * slots / maxOf(slots, ahead + 1)
+        val average = averageService ?: service
+        averageService = average + (service - average) * SMOOTHING
     }
 
     private fun failed(now: MonotonicInstant) {
@@ -153,11 +165,13 @@
     }
 
     private fun totalLoad(now: MonotonicInstant): ReplicaLoad {
-        var total = own
+        var others = ReplicaLoad.NONE
         for (report in reportedByHosts.values) {
-            if (now - report.heardAt <= REPORT_LIFE) total += report.load
+            if (now - report.heardAt <= REPORT_LIFE) others += report.load
         }
-        return total
+        val newest = told
+        if (newest != null && now - newest.at <= TOLD_LIFE) others = others.copy(requests = newest.requestsOfOthers)
+        return own + others
     }
 
     private fun isSilent(now: MonotonicInstant): Boolean {
@@ -189,6 +203,9 @@
         /** Age at which another host's report is worth nothing; four of its reporting intervals. */
         val REPORT_LIFE = 1.seconds
 
+        /** Age up to which a replica's own figure is better than those of the hosts, which come four times a second. */
+        val TOLD_LIFE = 150.milliseconds
+
         /** Time without any byte, with requests in flight, after which no more are sent. */
         val SILENCE = 1.5.seconds
 
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -36,6 +36,7 @@
         isDraining: Boolean = false,
         coldUntil: Duration? = null,
         zone: String = "a",
+        tokenCapacity: Long = 100_000,
     ) {
         replicas.put(
             Replica(
@@ -48,11 +49,19 @@
                 isDraining = isDraining,
                 startedAt = 1,
             ),
-            tokenCapacity = 100_000,
+            tokenCapacity = tokenCapacity,
             coldUntil = coldUntil?.let { now + it },
         )
     }
 
+    private fun serve(id: String, took: Duration, ahead: Int) {
+        val replica = replicas.find(ReplicaId(id))!!
+        repeat(40) {
+            replica.begin(ReplicaLoad(1, 0, 0), emptyList(), Duration.ZERO, now)
+            replica.end(ReplicaLoad(1, 0, 0), AttemptResult.ANSWERED, took, ahead, now)
+        }
+    }
+
     private fun occupy(id: String, requests: Int, tokens: Long = 0) {
         replicas.find(ReplicaId(id))!!.reported(HostName("other"), ReplicaLoad(requests, tokens, 0), now)
     }
@@ -118,17 +127,41 @@
         @Test
         fun `short work may queue at the last replica so that its slots stay busy`() {
             add("a")
-            val replica = replicas.find(ReplicaId("a"))!!
-            repeat(40) {
-                replica.begin(ReplicaLoad(1, 0, 0), emptyList(), Duration.ZERO, now)
-                replica.end(ReplicaLoad(1, 0, 0), AttemptResult.ANSWERED, 80.milliseconds, now)
-            }
+            serve("a", took = 80.milliseconds, ahead = 0)
             occupy("a", 11)
             expectThat(choose(request()).replica()).isEqualTo("a")
             occupy("a", 12)
             expectThat(choose(request())).isA<PlacementDecision.Full>()
         }
 
+        @Test
+        fun `requests of a plain service may wait for half of their target latency`() {
+            add("a", tokenCapacity = 0)
+            serve("a", took = 80.milliseconds, ahead = 0)
+            occupy("a", 15)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+            occupy("a", 16)
+            expectThat(choose(request())).isA<PlacementDecision.Full>()
+        }
+
+        @Test
+        fun `a queue does not make a replica look slow`() {
+            add("a", tokenCapacity = 0)
+            serve("a", took = 320.milliseconds, ahead = 15)
+            occupy("a", 15)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `what a replica tells of its load goes before what hosts have told for a moment`() {
+            add("a", tokenCapacity = 0)
+            add("b", tokenCapacity = 0)
+            occupy("b", 2)
+            replicas.find(ReplicaId("a"))!!.told(9, now)
+            expectThat(choose(request()).replica()).isEqualTo("b")
+            expectThat(placement.choose(request(), emptySet(), now + 200.milliseconds).replica()).isEqualTo("a")
+        }
+
         @Test
         fun `a full memory is no place though slots are free`() {
             add("a")
@@ -284,7 +317,7 @@
             val broken = replicas.find(ReplicaId("a"))!!
             repeat(3) {
                 broken.begin(ReplicaLoad(1, 0, 0), emptyList(), Duration.ZERO, now)
-                broken.end(ReplicaLoad(1, 0, 0), AttemptResult.BROKEN, 10.milliseconds, now)
+                broken.end(ReplicaLoad(1, 0, 0), AttemptResult.BROKEN, 10.milliseconds, 0, now)
             }
             occupy("b", 3)
             expectThat(choose(request()).replica()).isEqualTo("b")
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -50,13 +50,18 @@
     public val fetchFrom: NetworkAddress? = null,
 )
 
-/** What an answer's head says, beside its status. */
+/**
+ * What an answer's head says, beside its status.
+ *
+ * @property requestsAtReplica requests that the replica runs or keeps waiting, from all hosts; null if it does not tell.
+ */
 public data class AnswerFacts(
     public val requestId: RequestId?,
     public val isSigned: Boolean,
     public val isCertainlyNotRun: Boolean,
     public val isWrongReplica: Boolean,
     public val retryAfter: Duration?,
+    public val requestsAtReplica: Int? = null,
 )
 
 /** Reads and writes the headers of a deployment. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -84,6 +84,7 @@
         if (isOver) return
         val read = context.dialect.readAnswer(head.status().code(), head.headers())
         facts = read
+        read.requestsAtReplica?.let { state.told(it, context.clock.now()) }
         relay = AnswerRelay(exchange, head)
         if (!exchange.terms.isStreaming) heard()
     }
@@ -184,7 +185,7 @@
     private fun end(result: AttemptResult) {
         isOver = true
         val now = context.clock.now()
-        state.end(work, result, now - startedAt, now)
+        state.end(work, result, now - startedAt, decision.load.requests, now)
     }
 
     /** Some hosts of the region share the pace at which a cold replica may be used. */
