Hosts hand each other what the store tells, and only primary hosts follow the store

Ruled out: the pace of known cold replicas (three hosts a region, three a second at most by its constants). Change: heartbeats carry the revision that a host knows. Hosts that stand by do not watch the store while primary hosts of their region are alive: they ask when a heartbeat is ahead of them. A zone without a ready host is told by other regions too.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -73,8 +73,12 @@
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHost> =
         view(now).primaries.filter { it.region == region }
 
-    /** Whether this host is one of those that take the callers of its zone. */
-    public fun isPrimary(now: MonotonicInstant): Boolean = self in view(now).primaries
+    /** Whether this host stands by while primary hosts of its region are alive, and learns what these know. */
+    public fun followsPeers(now: MonotonicInstant): Boolean {
+        val current = view(now)
+        if (self in current.primaries) return false
+        return current.ready.any { it.region == self.region && it in current.primaries }
+    }
 
     /** Regions other than the own one with a host that may take requests. */
     public fun reachableRegions(now: MonotonicInstant): Set<RegionName> = view(now).reachableRegions
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
@@ -41,11 +41,13 @@
             return hosts.mapTo(HashSet()) { it.region } - self.region
         }
 
-        /** Where no host of a zone is known to be ready, one that was not heard lately may stand by. */
+        /** Where no host of a zone is known to be ready, one that was not heard lately may stand by; else one starts. */
         private fun primaries(self: EntryHost, known: List<KnownHost>): Set<EntryHost> {
             val zones = (known + KnownHost(self, isHeard = true, isReady = true)).groupBy { it.host.zone }
             return zones.values.flatMapTo(HashSet()) { hosts ->
-                val candidates = hosts.filter { it.isReady }.ifEmpty { hosts.filterNot { it.isHeard } }
+                val candidates = hosts.filter { it.isReady }
+                    .ifEmpty { hosts.filterNot { it.isHeard } }
+                    .ifEmpty { hosts }
                 PrimaryHosts.of(candidates.map { it.host })
             }
         }
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/EstateEntry.kt
@@ -0,0 +1,27 @@
+package org.buckthornwheel.forwarding.front
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
+import org.buckthornwheel.forwarding.exchange.Exchange
+import org.buckthornwheel.forwarding.membership.EstateRecovery
+import org.buckthornwheel.forwarding.membership.EstateShare
+
+/** Answers hosts that ask for what the store would tell them; all else goes to [requests]. */
+internal class EstateEntry(private val share: () -> EstateShare, private val requests: RequestStarter) :
+    RequestStarter {
+    override fun start(head: HttpRequest, body: ByteBuf, connection: FrontConnection): Exchange? {
+        val query = QueryStringDecoder(head.uri())
+        if (query.path() != EstateRecovery.PATH) return requests.start(head, body, connection)
+        body.release()
+        val after = query.parameters()[EstateRecovery.AFTER]?.firstOrNull()?.toLongOrNull() ?: 0
+        val changes = share().changesAfter(after)
+        val status = if (changes == null) HttpResponseStatus.NO_CONTENT else HttpResponseStatus.OK
+        val bytes = Unpooled.wrappedBuffer(changes.orEmpty().encodeToByteArray())
+        connection.answer(status, DefaultHttpHeaders(), bytes)
+        return null
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -24,6 +24,7 @@
 import org.buckthornwheel.forwarding.exchange.Knowledge
 import org.buckthornwheel.forwarding.exchange.Observability
 import org.buckthornwheel.forwarding.front.CallerEntry
+import org.buckthornwheel.forwarding.front.EstateEntry
 import org.buckthornwheel.forwarding.front.FrontConnection
 import org.buckthornwheel.forwarding.front.FrontLimits
 import org.buckthornwheel.forwarding.front.FrontState
@@ -32,6 +33,7 @@
 import org.buckthornwheel.forwarding.listener.Listeners
 import org.buckthornwheel.forwarding.listener.PlainAnswer
 import org.buckthornwheel.forwarding.listener.PlainService
+import org.buckthornwheel.forwarding.membership.EstateShare
 import org.buckthornwheel.forwarding.membership.HeartbeatExchange
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
@@ -67,6 +69,10 @@
     /** The other hosts; the adapter adds those that are registered. */
     public val hosts: EntryHosts = EntryHosts(settings.self)
 
+    /** What this host shares with hosts that are cut off from the store; set by the adapter before the start. */
+    @Volatile
+    public var estate: EstateShare = EstateShare.NONE
+
     /** The event loops, which the adapter's client shares. */
     public val loops: MultiThreadIoEventLoopGroup =
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
@@ -103,6 +109,7 @@
         reads,
         settings.introductions,
         { isReady },
+        { estate },
         log,
         clock,
     )
@@ -114,8 +121,8 @@
     /** Whether the host takes callers: it knows what to serve and is not leaving. */
     public val isReady: Boolean get() = !isLeaving && beliefs.manifest != null && replicas.size > 0
 
-    /** Whether the host is one that takes the callers of its zone, or has some that stayed. */
-    public val isPrimary: Boolean get() = hosts.isPrimary(clock.now()) || front.size > 0
+    /** Whether the host learns from primary hosts of its region what the store tells these. */
+    public val followsPeers: Boolean get() = hosts.followsPeers(clock.now())
 
     /** Opens all listeners. */
     public fun start() {
@@ -166,7 +173,7 @@
 
     private fun callerStarter(loop: EventLoop): RequestStarter = CallerEntry(context, pool(loop))
 
-    private fun peerStarter(loop: EventLoop): RequestStarter = PeerEntry(context, pool(loop))
+    private fun peerStarter(loop: EventLoop): RequestStarter = EstateEntry({ estate }, PeerEntry(context, pool(loop)))
 
     /** Whether the service of [replica] bounds the requests that a cold one gets. */
     private fun isPaced(replica: Replica): Boolean =
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -0,0 +1,92 @@
+/*
+ * Learns from other hosts what the store tells them.
+ *
+ * Heartbeats carry the revision that each host knows. A host that stays behind another one for a while asks it: the
+ * reason may be a store that turns it away, a silent connection, or a cut, and need not be known. A host that stands by
+ * does not follow the store at all while primary hosts of its region do, as each call to the store costs.
+ */
+
+package org.buckthornwheel.forwarding.membership
+
+import io.netty.channel.EventLoop
+import kotlinx.serialization.json.put
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.decision.entry.EntryHost
+import org.buckthornwheel.forwarding.client.CallResult
+import org.buckthornwheel.forwarding.client.HttpCall
+import org.buckthornwheel.forwarding.client.HttpCaller
+import org.buckthornwheel.forwarding.observability.DecisionLog
+import org.buckthornwheel.forwarding.observability.LogPart
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps [share] from staying behind other hosts. All calls come from [loop]. */
+internal class EstateRecovery(
+    private val self: EntryHost,
+    private val share: () -> EstateShare,
+    private val followsPeers: () -> Boolean,
+    private val loop: EventLoop,
+    private val log: DecisionLog,
+) {
+    /** The nearest host that knows more, and since when there is one. */
+    private class Ahead(val peer: EntryHost, val revision: Long, val since: MonotonicInstant)
+
+    private val callers = HashMap<NetworkAddress, HttpCaller>()
+    private var ahead: Ahead? = null
+    private var isAsking = false
+
+    /** Notes that [peer] knows [revision]. */
+    fun heard(peer: EntryHost, revision: Long, now: MonotonicInstant) {
+        val known = share().revision
+        val present = ahead?.takeIf { it.revision > known }
+        ahead = when {
+            revision <= known -> present
+            present == null -> Ahead(peer, revision, now)
+            distance(peer) <= distance(present.peer) -> Ahead(peer, present.revision, present.since)
+            else -> present
+        }
+    }
+
+    /** Asks, if this host has been behind for long enough. */
+    fun check(now: MonotonicInstant) {
+        val known = share().revision
+        val present = ahead?.takeIf { it.revision > known } ?: return
+        val patience = if (followsPeers()) Duration.ZERO else PATIENCE
+        if (isAsking || now - present.since < patience) return
+        isAsking = true
+        val address = present.peer.peerAddress
+        val caller = callers.getOrPut(address) { HttpCaller(loop, address) }
+        caller.call(HttpCall("GET", "$PATH?$AFTER=$known", timeout = TIMEOUT)) { take(it, present, known) }
+    }
+
+    private fun distance(peer: EntryHost): Int = when {
+        peer.zone == self.zone -> 0
+        peer.region == self.region -> 1
+        else -> 2
+    }
+
+    private fun take(result: CallResult, asked: Ahead, after: Long) {
+        isAsking = false
+        val answer = result as? CallResult.Answered
+        if (answer != null && answer.status == OK) return share().take(answer.body)
+        ahead = null
+        log.write(LogPart.STORE, "peer did not tell") {
+            put("peer", asked.peer.name.value)
+            put("revision", after)
+            put("reason", answer?.status?.toString() ?: result.toString())
+        }
+    }
+
+    internal companion object {
+        /** Path and parameter of the question between hosts. */
+        const val PATH = "/estate"
+        const val AFTER = "after"
+        private const val OK = 200
+
+        /** Hosts that follow the store hear from it within half a second of each other, and heartbeats come as often. */
+        private val PATIENCE = 1_200.milliseconds
+        private val TIMEOUT = 2.seconds
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -81,6 +81,7 @@
  * @property isReady whether the sender takes callers.
  * @property intervalMilliseconds time until the next one to the same receiver.
  * @property activity what the sender is doing; null if the receiver has no use for it.
+ * @property revision the store's revision up to which the sender knows all changes.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -89,6 +90,7 @@
     @CborLabel(2) val isReady: Boolean,
     @CborLabel(3) val intervalMilliseconds: Long,
     @CborLabel(4) val activity: Activity? = null,
+    @CborLabel(5) val revision: Long = 0,
 ) {
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = CODEC.encodeToByteArray(this)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -37,17 +37,20 @@
     private val reads: RecentReads,
     private val introductions: List<NetworkAddress>,
     private val isReady: () -> Boolean,
+    private val estate: () -> EstateShare,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
     private val description = SenderDescription.of(self)
     private lateinit var channel: Channel
+    private lateinit var recovery: EstateRecovery
     private var rounds = 0
 
     fun start(group: EventLoopGroup) {
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .handler(Receiver())
             .bind(InetSocketAddress(self.peerAddress.host, self.peerAddress.port)).sync().channel()
+        recovery = EstateRecovery(self, estate, { hosts.followsPeers(clock.now()) }, channel.eventLoop(), log)
         channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
@@ -64,6 +67,7 @@
         rounds += 1
         channel.flush()
         hosts.forgetOld(now)
+        recovery.check(now)
     }
 
     /** Tells all known hosts at once, as the host is about to leave. */
@@ -88,7 +92,7 @@
     }
 
     private fun beat(interval: Duration, activity: Activity?): Heartbeat =
-        Heartbeat(description, isReady(), interval.inWholeMilliseconds, activity)
+        Heartbeat(description, isReady(), interval.inWholeMilliseconds, activity, estate().revision)
 
     private fun write(address: NetworkAddress, beat: Heartbeat) {
         val receiver = InetSocketAddress(address.host, address.port)
@@ -113,6 +117,7 @@
                 put("incarnation", beat.sender.incarnation.value)
             }
         }
+        recovery.heard(beat.sender.host, beat.revision, now)
         beat.activity?.let { take(beat.sender.name, it, now) }
     }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -9,6 +9,7 @@
 import org.buckthornwheel.forwarding.fixture.HostileReplica
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.membership.EstateShare
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -108,4 +109,23 @@
         awaitUntil { north.process.hosts.ready(now()).isEmpty() }
         stopping.join()
     }
+
+    @Test
+    fun `a host that stays behind what another one knows asks it`() {
+        val behind = RecordedShare(revision = 3)
+        south.process.estate = behind
+        north.process.estate = RecordedShare(revision = 8)
+        awaitUntil { behind.taken == "changes after 3" }
+    }
+
+    private class RecordedShare(override val revision: Long) : EstateShare {
+        @Volatile
+        var taken: String? = null
+
+        override fun changesAfter(revision: Long): String = "changes after $revision"
+
+        override fun take(changes: String) {
+            taken = changes
+        }
+    }
 }
