Only primary hosts use a cold replica

Cause, found by reading: each host counted itself among the candidates, so a host that stands by and is asked directly could take itself for one of the three senders, though the primary hosts do not count with it; with 64 such hosts a cold replica could get more than its pace. Change: the three senders are primary hosts. Test: EntryHostsTest (one new).

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -90,9 +90,9 @@
         return current.known.mapNotNull { (host) -> rules.towards(host)?.let { host to it } }.toMap()
     }
 
-    /** Whether this host is one of the [COLD_SENDERS] of its region that may use [replica] while it is cold. */
+    /** Whether this host is one of the [COLD_SENDERS] primary hosts of its region that may use a cold [replica]. */
     public fun mayUseCold(replica: ReplicaId, now: MonotonicInstant): Boolean {
-        val own = view(now).primaries.filter { it.region == self.region && it.name != self.name } + self
+        val own = view(now).primaries.filter { it.region == self.region }
         return RendezvousHash.order(replica.value, own) { it.name.value }.take(COLD_SENDERS).any { it == self }
     }
 
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/EntryHostsTest.kt
@@ -208,6 +208,13 @@
             expectThat(users).hasSize(3)
         }
 
+        @Test
+        fun `a host that stands by does not use one, as the primary hosts do not count with it`() {
+            val standby = EntryHosts(host("standby", "north", cores = 0.3))
+            standby.heard(host("large-1", "north", cores = 1.5), isReady = true, now)
+            expectThat((1..20).count { standby.mayUseCold(ReplicaId("i-$it"), now) }).isEqualTo(0)
+        }
+
         @Test
         fun `a host that knows no other uses it`() {
             expectThat(hosts.mayUseCold(ReplicaId("i-1"), now)).isTrue()
