Less urgent requests avoid engines on which more urgent ones would displace them

Change: a request that is not urgent counts, at an engine with more requests than slots, the time that it would lose. Tests: PlacementTest (three new).

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
@@ -10,6 +10,8 @@
  *
  * @property detourMilliseconds wait at the replica that keeps a prompt that is preferred to moving the prompt: half a
  *   gigabyte goes over the engines' link, and pushes other prompts out of the memory at its end.
+ * @property displacedMilliseconds time that a less urgent request loses when more urgent ones displace it from an engine
+ *   with more requests than slots: its prompt is read again, and it waits for a slot once more.
  */
 public data class CostModel(
     public val prefillTokensPerMillisecond: Double = 112.0,
@@ -18,6 +20,7 @@
     public val fetchSetupMilliseconds: Double = 10.0,
     public val fetchedTokensPerMillisecond: Double = 2_000.0,
     public val detourMilliseconds: Double = 80.0,
+    public val displacedMilliseconds: Double = 1_000.0,
 ) {
     /** The time until an answer begins at the replica of [outlook], with [missingTokens] of the prompt to be read. */
     internal fun beginMilliseconds(outlook: ReplicaOutlook, missingTokens: Int): Double {
@@ -30,6 +33,14 @@
         return (firstTokenMilliseconds + wait + prefill) * maxOf(1.0, outlook.slowness)
     }
 
+    /** The time that a less urgent request is expected to lose to more urgent ones at the replica of [outlook]. */
+    internal fun displacementMilliseconds(outlook: ReplicaOutlook, isUrgent: Boolean): Double {
+        if (isUrgent || outlook.tokenCapacity <= 0) return 0.0
+        val slots = maxOf(1, outlook.replica.slots)
+        val beyond = maxOf(0, outlook.load.requests + 1 - slots)
+        return displacedMilliseconds * beyond / slots
+    }
+
     /** The time that a replica takes to fetch [tokens] from another one. */
     internal fun fetchMilliseconds(tokens: Int): Double = fetchSetupMilliseconds + tokens / fetchedTokensPerMillisecond
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -106,7 +106,9 @@
         val crowding = outlook.load.requests * CROWDING_MILLISECONDS / maxOf(1, outlook.replica.slots)
         val detour = if (fetches) costs.detourMilliseconds else 0.0
         val source = keeper?.replica.takeIf { fetches }
-        val cost = begin + way + crowding + detour + distances.preferenceMilliseconds(outlook.replica)
+        val displacement = costs.displacementMilliseconds(outlook, request.isUrgent)
+        val preference = distances.preferenceMilliseconds(outlook.replica)
+        val cost = begin + way + crowding + detour + displacement + preference
         return Candidate(outlook, missing, begin + way, cost, source)
     }
 
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -269,6 +269,36 @@
         }
     }
 
+    @Nested
+    inner class `given a full engine and an idle one in another region` {
+        @Test
+        fun `a less urgent request goes where more urgent ones do not displace it`() {
+            add("a")
+            add("z", SOUTH)
+            serve("a", took = 40.milliseconds, ahead = 0)
+            occupy("a", 4)
+            expectThat(choose(request())).isA<PlacementDecision.Forward>()
+            expectThat(choose(request(isUrgent = true)).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `it stays near while a slot is free`() {
+            add("a")
+            add("z", SOUTH)
+            occupy("a", 3)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+        }
+
+        @Test
+        fun `plain services displace nothing`() {
+            add("a", tokenCapacity = 0)
+            add("z", SOUTH, tokenCapacity = 0)
+            serve("a", took = 40.milliseconds, ahead = 0)
+            occupy("a", 4)
+            expectThat(choose(request()).replica()).isEqualTo("a")
+        }
+    }
+
     @Nested
     inner class `given a second zone in the region` {
         @Test
