A stream whose continuation fails is cut off at once, not left hanging

Ruled out: the replicas (each answered within milliseconds), the way there (forwarded once, 155 ms). Change: an answer that comes when the stream has begun cuts it off; a long one is not passed on piece by piece either. Test: HostileReplicaTest, seen to fail (2.08 s, the idle timeout of the test's manifest).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AnswerRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AnswerRelay.kt
@@ -34,7 +34,7 @@
         val body = collected
         if (body == null) return exchange.streamRest(content)
         body.addComponent(true, content)
-        if (body.readableBytes() > MAXIMUM_COLLECTED_BYTES) passOn(body)
+        if (body.readableBytes() > MAXIMUM_COLLECTED_BYTES && !exchange.hasBegunStream) passOn(body)
     }
 
     /** The answer is whole. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -50,6 +50,10 @@
     val terms: RequestTerms get() = request.terms
     val facts: RequestFacts get() = request.facts
 
+    /** Whether the caller has the head of a stream. */
+    var hasBegunStream = false
+        private set
+
     private val excluded = HashSet<ReplicaId>()
     private val unreachableHosts = HashSet<String>()
     private val rejectingRegions = HashSet<RegionName>()
@@ -57,7 +61,6 @@
     private var attempts = 0
     private var possibleRuns = 0
     private var isDone = false
-    private var hasBegunStream = false
     private var fallback: AnswerRelay? = null
     private var lastEventId: String? = null
     private var endTimer: ScheduledFuture<*>? = null
@@ -203,10 +206,11 @@
 
     private fun mayBeRepeated(): Boolean = terms.isRepeatable && attempts < terms.maximumAttempts && !isDone
 
+    /** Answers as a whole; a stream that has begun cannot become another answer and is cut off instead. */
     fun answer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
-        if (isDone) {
+        if (isDone || hasBegunStream) {
             body.release()
-            return
+            return abort("status ${status.code()} after the stream had begun")
         }
         finish(status.code(), "answered")
         sink.answer(status, headers, body)
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HostileReplicaTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HostileReplicaTest.kt
@@ -17,9 +17,12 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
 
 internal class HostileReplicaTest {
     private val host = RunningHost()
@@ -304,6 +307,30 @@
             }
         }
 
+        @Test
+        fun `one whose continuation fails with an error is cut off at once`() {
+            fun ReplicaSide.serve(request: SeenRequest) {
+                if (request.header("Last-Event-Id") == null) {
+                    send(chunkedHead(request) + chunk(event(1)))
+                    Thread.sleep(50)
+                    return reset()
+                }
+                send("HTTP/1.1 500 Oops\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n")
+            }
+            replica("r1") { serve(it) }
+            replica("r2") { serve(it) }
+            host.caller().use { caller ->
+                caller.request("POST", "/stream/x", "q1", "question")
+                val begun = TimeSource.Monotonic.markNow()
+                expectThat(caller.answer()).isNotNull().and {
+                    get { body }.contains("id: 1\n")
+                    get { isWhole }.isFalse()
+                }
+                // An idle connection would be closed after two seconds.
+                expectThat(begun.elapsedNow()).isLessThan(1_900.milliseconds)
+            }
+        }
+
         @Test
         fun `events are passed on as they come`() {
             replica { request ->
