--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -29,7 +29,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Sends this host's heartbeats to all known hosts and takes in theirs. */
+/** Sends this host's heartbeats to the hosts that need them and takes in theirs. */
 internal class HeartbeatExchange(
     private val self: EntryHost,
     private val hosts: EntryHosts,
