--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/HostView.kt
@@ -41,7 +41,7 @@
             return hosts.mapTo(HashSet()) { it.region } - self.region
         }
 
-        /** Where no host of a zone is known to be ready, one that was not heard lately may stand by; else one starts. */
+        /** Where no host of a zone is ready, one that was not heard lately may stand by; else one is about to start. */
         private fun primaries(self: EntryHost, known: List<KnownHost>): Set<EntryHost> {
             val zones = (known + KnownHost(self, isHeard = true, isReady = true)).groupBy { it.host.zone }
             return zones.values.flatMapTo(HashSet()) { hosts ->
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/CostModel.kt
@@ -10,8 +10,8 @@
  *
  * @property detourMilliseconds wait at the replica that keeps a prompt that is preferred to moving the prompt: half a
  *   gigabyte goes over the engines' link, and pushes other prompts out of the memory at its end.
- * @property displacedMilliseconds time that a less urgent request loses when more urgent ones displace it from an engine
- *   with more requests than slots: its prompt is read again, and it waits for a slot once more.
+ * @property displacedMilliseconds time that a less urgent request loses when more urgent ones displace it from an
+ *   engine with more requests than slots: its prompt is read again, and it waits for a slot once more.
  */
 public data class CostModel(
     public val prefillTokensPerMillisecond: Double = 112.0,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -53,7 +53,7 @@
 /**
  * What an answer's head says, beside its status.
  *
- * @property requestsAtReplica requests that the replica runs or keeps waiting, from all hosts; null if it does not tell.
+ * @property requestsAtReplica requests that the replica runs or keeps waiting, from all hosts; null if not told.
  */
 public data class AnswerFacts(
     public val requestId: RequestId?,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -35,6 +35,7 @@
 import org.buckthornwheel.forwarding.listener.PlainService
 import org.buckthornwheel.forwarding.membership.EstateShare
 import org.buckthornwheel.forwarding.membership.HeartbeatExchange
+import org.buckthornwheel.forwarding.membership.OwnState
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
@@ -108,8 +109,7 @@
         replicas,
         reads,
         settings.introductions,
-        { isReady },
-        { estate },
+        OwnState({ isReady }, { estate }),
         log,
         clock,
     )
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -85,7 +85,7 @@
         const val AFTER = "after"
         private const val OK = 200
 
-        /** Hosts that follow the store hear from it within half a second of each other, and heartbeats come as often. */
+        /** Hosts that follow the store hear from it within half a second of each other; heartbeats come as often. */
         private val PATIENCE = 1_200.milliseconds
         private val TIMEOUT = 2.seconds
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -29,6 +29,9 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** What a host tells of itself: whether it takes callers, and what it knows of the estate. */
+internal class OwnState(val isReady: () -> Boolean, val estate: () -> EstateShare)
+
 /** Sends this host's heartbeats to the hosts that need them and takes in theirs. */
 internal class HeartbeatExchange(
     private val self: EntryHost,
@@ -36,8 +39,7 @@
     private val replicas: ReplicaRegistry,
     private val reads: RecentReads,
     private val introductions: List<NetworkAddress>,
-    private val isReady: () -> Boolean,
-    private val estate: () -> EstateShare,
+    private val own: OwnState,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
@@ -50,7 +52,7 @@
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .handler(Receiver())
             .bind(InetSocketAddress(self.peerAddress.host, self.peerAddress.port)).sync().channel()
-        recovery = EstateRecovery(self, estate, { hosts.followsPeers(clock.now()) }, channel.eventLoop(), log)
+        recovery = EstateRecovery(self, own.estate, { hosts.followsPeers(clock.now()) }, channel.eventLoop(), log)
         channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
@@ -92,7 +94,7 @@
     }
 
     private fun beat(interval: Duration, activity: Activity?): Heartbeat =
-        Heartbeat(description, isReady(), interval.inWholeMilliseconds, activity, estate().revision)
+        Heartbeat(description, own.isReady(), interval.inWholeMilliseconds, activity, own.estate().revision)
 
     private fun write(address: NetworkAddress, beat: Heartbeat) {
         val receiver = InetSocketAddress(address.host, address.port)
