The version change test waits until the sender has logged its order

The test awaits the order in the engine's list, then looks once for 'Told' in the hosts' logs. The engine lists an order before it answers, and the host logs 'Told' only after the answer, so the look can come too early. Ruled out: an order that was not sent (the engine had it, the wait before had ended), load as a cause by itself (it only widens the gap). Change: sender() awaits the line. What is checked afterwards is as before.

--- a/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/orders/VersionChangeTest.kt
+++ b/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/orders/VersionChangeTest.kt
@@ -77,8 +77,14 @@
         expectThat(taken.map { it.fencing }).isEqualTo(taken.map { it.fencing }.sorted())
     }
 
-    private fun sender(): ChildProcess = estate.hosts.map { estate.process(it.name) }
-        .first { "Told" in it.output.toFile().readText() }
+    /** The engine has an order before its answer reaches the sender, which only then logs that it has sent it. */
+    private suspend fun sender(): ChildProcess {
+        val processes = estate.hosts.map { estate.process(it.name) }
+        awaitUntil("a host has logged its order") { processes.any(::hasSentOrder) }
+        return processes.first(::hasSentOrder)
+    }
+
+    private fun hasSentOrder(process: ChildProcess): Boolean = "Told" in process.output.toFile().readText()
 
     private fun other(sender: ChildProcess) = estate.hosts.first { it.name != sender.name }
 
