A stopping host rejects what may outlast it once the directory's answers have run out

Some callers keep the directory's answers three times as long as these say. Ruled out: closing the listeners early (a request that is on its way would be lost), a longer share of the grace (the dossier had 8 s of its own). Change: ShutdownAdmission in decision: until the directory's answers have run out everything is taken; later only what ends before the host does, by its remaining time or by three target latencies and its tokens. The rest gets 503 at once, with Retry-After 0.02 s, as another host serves it, and is not sent anywhere. The host's state of stopping stands in one place (HostShutdown) instead of three flags. Exchange is split: what became of the attempts (AttemptRecord) and what the caller has of a stream (CallerStream) are types of their own. Tests: ShutdownAdmissionTest; ShutdownTest, red without the admission (status 200 and a cut at the end).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -17,7 +17,6 @@
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
-import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.overload.ReturnTime
 import org.buckthornwheel.decision.placement.PlacementDecision
@@ -51,24 +50,23 @@
     val facts: RequestFacts get() = request.facts
 
     /** Whether the caller has the head of a stream. */
-    var hasBegunStream = false
-        private set
+    val hasBegunStream: Boolean get() = stream.hasBegun
 
-    private val excluded = HashSet<ReplicaId>()
-    private val unreachableHosts = HashSet<String>()
-    private val rejectingRegions = HashSet<RegionName>()
+    private val stream = CallerStream(sink)
+    private val record = AttemptRecord(request.terms.maximumAttempts)
     private var attempt: Attempt? = null
-    private var attempts = 0
-    private var possibleRuns = 0
     private var isDone = false
     private var fallback: AnswerRelay? = null
-    private var lastEventId: String? = null
     private var endTimer: ScheduledFuture<*>? = null
     private var placementTimer: ScheduledFuture<*>? = null
 
     fun start() {
-        if (terms.mayForward) context.budget.request(terms.service, context.clock.now())
-        val rest = terms.end - context.clock.now() + END_SLACK
+        val now = context.clock.now()
+        if (!context.shutdown.admits(terms, facts, now)) {
+            return reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "host is stopping", OTHER_HOST_WAIT)
+        }
+        if (terms.mayForward) context.budget.request(terms.service, now)
+        val rest = terms.end - now + END_SLACK
         endTimer = loop.schedule(::onEnd, rest.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         place()
     }
@@ -88,7 +86,7 @@
         if (isDone) return
         val now = context.clock.now()
         if (terms.end <= now) return onEnd()
-        val reachable = context.hosts.reachableRegions(now) - rejectingRegions
+        val reachable = context.hosts.reachableRegions(now) - record.rejectingRegions
         when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
             is PlacementDecision.Local -> sendToReplica(decision, now)
             is PlacementDecision.Forward -> forward(decision, now)
@@ -106,7 +104,7 @@
         targetLatency = terms.targetLatency,
         remaining = terms.end - now,
         homeRegions = terms.homeRegions,
-        excluded = excluded,
+        excluded = record.excludedReplicas,
         closedZones = context.beliefs.closedZones,
         mayForward = terms.mayForward,
         isUrgent = terms.priority == 0,
@@ -121,73 +119,57 @@
 
     private fun sendToReplica(decision: PlacementDecision.Local, now: MonotonicInstant) {
         val state = context.replicas.find(decision.replica.id) ?: return place()
-        if (isRepeat() && !mayRepeat(now)) return giveUp("retry budget is spent", NO_REPLICA_WAIT)
+        if (record.count > 0 && !mayRepeat(now)) return giveUp("retry budget is spent", NO_REPLICA_WAIT)
         val sent = ReplicaAttempt(context, this, state, decision, now)
         attempt = sent
-        sent.start(pool, replicaHeaders(decision, now), request, lastEventId)
+        sent.start(pool, replicaHeaders(decision, now), request, stream.lastEventId)
     }
 
     private fun replicaHeaders(decision: PlacementDecision.Local, now: MonotonicInstant): HttpHeaders =
-        RequestHeaders.forReplica(context, request, decision, terms.end - now, lastEventId)
+        RequestHeaders.forReplica(context, request, decision, terms.end - now, stream.lastEventId)
 
     private fun forward(decision: PlacementDecision.Forward, now: MonotonicInstant) {
-        val reachable = context.hosts.primaries(decision.region, now).filter { it.name.value !in unreachableHosts }
+        val reachable = context.hosts.primaries(decision.region, now).filter(record::permits)
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return waitOrReject(NO_REPLICA_WAIT, now)
-        val envelope = PeerEnvelope.of(terms, terms.maximumAttempts - attempts, now)
+        val envelope = PeerEnvelope.of(terms, record.left, now)
         context.meters.forwarded()
         val sent = PeerAttempt(context, this, host, now)
         attempt = sent
-        sent.start(pool, RequestHeaders.forPeer(request, envelope, lastEventId), request)
+        sent.start(pool, RequestHeaders.forPeer(request, envelope, stream.lastEventId), request)
     }
 
-    private val mayHaveRun: Boolean get() = possibleRuns > 0
-
-    private fun isRepeat(): Boolean = attempts > 0
-
     private fun mayRepeat(now: MonotonicInstant): Boolean =
         context.budget.spend(terms.service, context.hosts.sharers(now, region = null), now)
 
-    /** A request was written to a replica. */
-    fun onSent() {
-        attempts += 1
-        possibleRuns += 1
-    }
+    /** A request was written to a target. */
+    fun onSent(): Unit = record.sent()
 
     /** The target was not reached; nothing was sent. */
     fun onNotSent(replica: ReplicaId?, peer: String?) {
-        replica?.let { excluded += it }
-        peer?.let { unreachableHosts += it }
+        record.failed(replica, peer)
         attempt = null
         place()
     }
 
     /** The replica certainly did not run the request; [counts] tells whether it was the right one. */
     fun onNotRun(replica: ReplicaId, counts: Boolean) {
-        excluded += replica
+        record.notRun(replica, counts)
         attempt = null
-        possibleRuns -= 1
-        if (!counts) {
-            attempts -= 1
-            return place()
-        }
-        if (attempts < terms.maximumAttempts) place() else giveUp("refused by replicas", REFUSED_WAIT)
+        if (!counts || record.left > 0) place() else giveUp("refused by replicas", REFUSED_WAIT)
     }
 
     /** The [host] of another region has no place: what no replica got may still find one in a third region, or here. */
     fun onPeerRejected(host: EntryHost, outcome: PeerOutcome, retryAfter: Duration?) {
         attempt = null
-        possibleRuns -= 1
+        record.rejectedIn(host.region, outcome)
         if (outcome == PeerOutcome.NOT_RUN) return giveUp("refused in ${host.region}", retryAfter ?: NO_REPLICA_WAIT)
-        attempts -= 1
-        rejectingRegions += host.region
         place()
     }
 
     /** The attempt failed and may have run; [status] is the gateway's answer unless it may be repeated. */
     fun onFailed(replica: ReplicaId?, peer: String?, reason: String, status: HttpResponseStatus) {
-        replica?.let { excluded += it }
-        peer?.let { unreachableHosts += it }
+        record.failed(replica, peer)
         attempt = null
         if (mayBeRepeated()) return place()
         if (hasBegunStream) return abort(reason)
@@ -199,12 +181,12 @@
         if (!mayBeRepeated()) return answer.complete()
         fallback?.discard()
         fallback = answer
-        excluded += replica
+        record.failed(replica, peer = null)
         attempt = null
         place()
     }
 
-    private fun mayBeRepeated(): Boolean = terms.isRepeatable && attempts < terms.maximumAttempts && !isDone
+    private fun mayBeRepeated(): Boolean = terms.isRepeatable && record.left > 0 && !isDone
 
     /** Answers as a whole; a stream that has begun cannot become another answer and is cut off instead. */
     fun answer(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
@@ -218,23 +200,16 @@
 
     /** Whether this is the first attempt whose stream begins; a later one goes on without a head. */
     fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
-        if (isDone || hasBegunStream) return
-        hasBegunStream = true
-        sink.beginStream(status, headers)
+        if (!isDone) stream.begin(status, headers)
     }
 
     /** Passes on an event unless the caller has it already. */
     fun streamEvent(event: StreamEvent) {
-        if (isDone || isOld(event.id)) {
-            event.bytes.release()
-            return
-        }
-        event.id?.let { lastEventId = it }
-        sink.stream(event.bytes)
+        if (isDone) event.bytes.release() else stream.add(event)
     }
 
     fun streamRest(rest: ByteBuf) {
-        if (isDone || !rest.isReadable) rest.release() else sink.stream(rest)
+        if (isDone || !rest.isReadable) rest.release() else stream.add(rest)
     }
 
     fun endStream(status: Int) {
@@ -243,16 +218,10 @@
         sink.endStream()
     }
 
-    private fun isOld(id: String?): Boolean {
-        val last = lastEventId?.toLongOrNull() ?: return false
-        val number = id?.toLongOrNull() ?: return false
-        return number <= last
-    }
-
     /** Without a place: a promise that the request was not run, if that is certain. */
     private fun giveUp(reason: String, wait: Duration) {
         if (hasBegunStream) return abort(reason)
-        if (mayHaveRun) return reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
+        if (record.mayHaveRun) return reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
         val remaining = terms.end - context.clock.now()
         val draw = ThreadLocalRandom.current().nextDouble()
         val retryAfter = ReturnTime.after(wait, terms.targetLatency, remaining, draw)
@@ -265,7 +234,7 @@
         if (hasBegunStream) {
             abort("time is over")
         } else {
-            val status = if (mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val status = if (record.mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
             reject(status, "time is over", retryAfter = null)
         }
         running?.cancel()
@@ -286,12 +255,12 @@
         finish(status.code(), reason)
         val headers = DefaultHttpHeaders()
         context.dialect.writeOwnAnswer(headers, facts.id)
-        if (!mayHaveRun && !terms.mayForward) PeerEnvelope.mark(headers, ownOutcome())
+        if (!record.mayHaveRun && !terms.mayForward) PeerEnvelope.mark(headers, ownOutcome())
         retryAfter?.let { headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(it.toDouble(DurationUnit.SECONDS))) }
         sink.answer(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
-    private fun ownOutcome(): PeerOutcome = if (attempts == 0) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
+    private fun ownOutcome(): PeerOutcome = if (record.count == 0) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
 
     private fun finish(status: Int, reason: String) {
         isDone = true
@@ -308,7 +277,7 @@
             put("manifest", terms.version.value)
             put("status", status)
             put("reason", reason)
-            put("attempts", attempts)
+            put("attempts", record.count)
             put("milliseconds", took.inWholeMilliseconds)
         }
     }
@@ -329,6 +298,9 @@
         /** Pause that is asked of callers after replicas refused. */
         val REFUSED_WAIT = 100.milliseconds
 
+        /** Pause that is asked of callers that another host serves: they connect anew. */
+        val OTHER_HOST_WAIT = 20.milliseconds
+
         /** Codes in logs and metrics where no status was sent. */
         const val CALLER_LEFT = 499
         const val BROKEN_STREAM = 0
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -21,6 +21,7 @@
     val placement: Placement,
     val budget: WindowedRetryBudget,
     private val observability: Observability,
+    val shutdown: HostShutdown,
     val clock: MonotonicClock,
 ) {
     val beliefs: Beliefs get() = knowledge.beliefs
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/FrontState.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/FrontState.kt
@@ -1,14 +1,14 @@
 package org.buckthornwheel.forwarding.front
 
+import org.buckthornwheel.forwarding.exchange.HostShutdown
 import java.util.concurrent.ConcurrentHashMap
 
-/** The open connections of a listener, and whether it is draining. */
-internal class FrontState {
+/** The open connections of a listener; when the host has begun its [shutdown], they end with their next answer. */
+internal class FrontState(private val shutdown: HostShutdown) {
     private val connections: MutableSet<FrontConnection> = ConcurrentHashMap.newKeySet()
 
     /** Whether answers tell callers to connect elsewhere. */
-    @Volatile
-    var isDraining: Boolean = false
+    val isDraining: Boolean get() = shutdown.hasBegun
 
     val size: Int get() = connections.size
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -18,9 +18,11 @@
 import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.decision.shutdown.ShutdownAdmission
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
+import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.exchange.Knowledge
 import org.buckthornwheel.forwarding.exchange.Observability
 import org.buckthornwheel.forwarding.front.CallerEntry
@@ -79,6 +81,7 @@
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
 
     private val meters = ForwardingMeters()
+    private val shutdown = HostShutdown()
     private val reads = RecentReads()
     private val context = ForwardingContext(
         self = settings.self,
@@ -98,11 +101,12 @@
             RETRY_ALLOWANCE_SHARE,
         ),
         observability = Observability(log, meters),
+        shutdown = shutdown,
         clock = clock,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
-    private val front = FrontState()
-    private val peers = FrontState()
+    private val front = FrontState(shutdown)
+    private val peers = FrontState(shutdown)
     private val heartbeats = HeartbeatExchange(
         settings.self,
         hosts,
@@ -115,11 +119,8 @@
     )
     private val listeners = ArrayList<Channel>()
 
-    @Volatile
-    private var isLeaving = false
-
     /** Whether the host takes callers: it knows what to serve and is not leaving. */
-    public val isReady: Boolean get() = !isLeaving && beliefs.manifest != null && replicas.size > 0
+    public val isReady: Boolean get() = !shutdown.hasBegun && beliefs.manifest != null && replicas.size > 0
 
     /** Whether the host learns from primary hosts of its region what the store tells these. */
     public val followsPeers: Boolean get() = hosts.followsPeers(clock.now())
@@ -149,15 +150,13 @@
     /** Graceful shutdown: callers are sent elsewhere, what arrives is served, requests in progress end. */
     public fun stop() {
         val begin = clock.now()
-        isLeaving = true
-        front.isDraining = true
-        peers.isDraining = true
+        val directoryEnds = begin + settings.directoryLife + LEAVE_SLACK
+        shutdown.begin(ShutdownAdmission(directoryEnds, stopsAt = begin + settings.shutdownGrace))
         log.write(LogPart.HOST, "stopping") { put("connections", front.size) }
         loops.next().execute(heartbeats::sendToAll)
         while (clock.now() - begin < settings.shutdownGrace) {
             Thread.sleep(STOP_STEP.inWholeMilliseconds)
-            val isForgotten = clock.now() - begin > settings.directoryLife + LEAVE_SLACK
-            if (!isForgotten) continue
+            if (clock.now() < directoryEnds) continue
             front.closeIdle()
             peers.closeIdle()
             if (front.size == 0 && peers.size == 0) break
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/ShutdownTest.kt
@@ -0,0 +1,79 @@
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.forwarding.fixture.HostileReplica
+import org.buckthornwheel.forwarding.fixture.RawAnswer
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+internal class ShutdownTest {
+    private val host = RunningHost()
+    private val release = CountDownLatch(1)
+    private val replica = HostileReplica { request ->
+        if (request.line.contains("/held")) release.await()
+        send("HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n")
+    }.also { host.add("r1", it) }
+    private val held = host.caller()
+    private lateinit var stopping: Thread
+
+    @AfterEach
+    fun close() {
+        release.countDown()
+        held.close()
+        stopping.join()
+        replica.close()
+        host.close()
+    }
+
+    /** A request in progress keeps the host from ending before its grace is over. */
+    @BeforeEach
+    fun stopWithARequestInProgress() {
+        held.request("POST", "/patient/held", "held")
+        awaitUntil { replica.requests.isNotEmpty() }
+        stopping = thread { host.process.stop() }
+        awaitUntil { !host.process.isReady }
+    }
+
+    @Nested
+    inner class `given a host that is stopping` {
+        @Test
+        fun `a long request is served while the directory's answers may name the host`() {
+            expectThat(ask("/patient/x")?.status).isEqualTo(200)
+        }
+
+        @Test
+        fun `a request that may outlast the host is rejected unsent once they have run out`() {
+            Thread.sleep(AFTER_DIRECTORY_MILLISECONDS)
+            expectThat(ask("/patient/x")).isNotNull().and {
+                get { status }.isEqualTo(503)
+                get { header("Retry-After") }.isEqualTo("0.020")
+                get { header("Connection") }.isEqualTo("close")
+            }
+            expectThat(replica.requests.size).isEqualTo(1)
+        }
+
+        @Test
+        fun `a request whose time ends before the host is served until then`() {
+            Thread.sleep(AFTER_DIRECTORY_MILLISECONDS)
+            expectThat(ask("/brief/x")?.status).isEqualTo(200)
+        }
+    }
+
+    private fun ask(path: String): RawAnswer? = host.caller().use { caller ->
+        caller.request("POST", path, "q1")
+        caller.answer()
+    }
+
+    private companion object {
+        /** The directory's answers of the fixture run out after 300 ms, and the slack for requests on their way. */
+        const val AFTER_DIRECTORY_MILLISECONDS = 900L
+    }
+}
