--- a/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
@@ -13,10 +13,7 @@
  * @property directoryEnds when the directory's answers that name the host have run out.
  * @property stopsAt when the host ends, whatever is still running.
  */
-public class ShutdownAdmission(
-    private val directoryEnds: MonotonicInstant,
-    private val stopsAt: MonotonicInstant,
-) {
+public class ShutdownAdmission(private val directoryEnds: MonotonicInstant, private val stopsAt: MonotonicInstant) {
     /** Whether the host takes [request], which arrived at [now]. */
     public fun admits(request: ShutdownRequest, now: MonotonicInstant): Boolean {
         if (now < directoryEnds) return true
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Exchange.kt
@@ -52,6 +52,9 @@
     /** Whether the caller has the head of a stream. */
     val hasBegunStream: Boolean get() = stream.hasBegun
 
+    /** Whether a target had got the request before the one that has it now. */
+    val isRepeat: Boolean get() = record.count > 1
+
     private val stream = CallerStream(sink)
     private val record = AttemptRecord(request.terms.maximumAttempts)
     private var attempt: Attempt? = null
@@ -234,12 +237,14 @@
         if (hasBegunStream) {
             abort("time is over")
         } else {
-            val status = if (record.mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
-            reject(status, "time is over", retryAfter = null)
+            reject(statusAtEnd(), "time is over", retryAfter = null)
         }
         running?.cancel()
     }
 
+    private fun statusAtEnd(): HttpResponseStatus =
+        if (record.mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
+
     private fun abort(reason: String) {
         if (isDone) return
         finish(BROKEN_STREAM, reason)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -2,7 +2,6 @@
 
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
-import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.entry.EntryHosts
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.replica.RecentReads
@@ -14,7 +13,6 @@
 
 /** What every exchange of a host uses. */
 internal class ForwardingContext(
-    val self: EntryHost,
     val dialect: RequestDialect,
     private val knowledge: Knowledge,
     val hosts: EntryHosts,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -128,7 +128,7 @@
         }
         connection = opened
         exchange.onSent()
-        context.meters.sent(isRepeat = false)
+        context.meters.sent(exchange.isRepeat)
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, request.head.method(), request.head.uri(), headers)
         opened.send(head, request.body.retainedDuplicate(), this)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -80,11 +80,10 @@
     public val loops: MultiThreadIoEventLoopGroup =
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
 
-    private val meters = ForwardingMeters()
+    private val meters = ForwardingMeters(log::dropped)
     private val shutdown = HostShutdown()
     private val reads = RecentReads()
     private val context = ForwardingContext(
-        self = settings.self,
         dialect = dialect,
         knowledge = Knowledge(beliefs, replicas, reads),
         hosts = hosts,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/DecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/DecisionLog.kt
@@ -1,8 +1,8 @@
 /*
  * The log of decisions: one JSON object on a line of standard output for each.
  *
- * The lines go through an asynchronous appender that drops them, and counts what it dropped, when the output cannot
- * keep up; the caller never waits.
+ * Lines are dropped and counted when the output cannot keep up; the caller never waits. There is no logging framework
+ * behind it: starting one took more processor time than the rest of the host's start (decision 0008).
  */
 
 package org.buckthornwheel.forwarding.observability
@@ -10,7 +10,7 @@
 import kotlinx.serialization.json.JsonObjectBuilder
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
-import org.apache.logging.log4j.LogManager
+import kotlin.time.Duration
 
 /** What a line is about; [title] is the text in the log. */
 public enum class LogPart(internal val title: String) {
@@ -20,11 +20,16 @@
     MEMBERSHIP("membership"),
     STORE("store"),
     REQUEST("request"),
+    LIBRARY("library"),
 }
 
 /** Writes decisions of [host]. */
-public class DecisionLog(private val host: String) {
-    private val logger = LogManager.getLogger("org.buckthornwheel.decisions")
+public class DecisionLog internal constructor(private val host: String, private val output: LineOutput) {
+    /** A log on the process's standard output. */
+    public constructor(host: String) : this(host, LineOutput.STANDARD)
+
+    /** Lines that were dropped since the start. */
+    public val dropped: Long get() = output.dropped
 
     /** Writes one line: the [part], the [event] and the fields of [fields]. */
     public fun write(part: LogPart, event: String, fields: JsonObjectBuilder.() -> Unit) {
@@ -35,6 +40,9 @@
             put("event", event)
             fields()
         }
-        logger.info(line.toString())
+        output.add(line.toString())
     }
+
+    /** Waits until the lines are written, [limit] at most; for the end of the process. */
+    public fun flush(limit: Duration): Unit = output.flush(limit)
 }
