After an idle connection was lost, others that rested as long are not used

A kept connection was used for up to 7.5 s: each one forgotten would have lost a request, and a request that may not be repeated ends with 502; three in a row would have had the sound replica rest. Such a break says nothing about the replica. One place keeps the times of a connection (Duration of the monotonic clock instead of nanoseconds and milliseconds).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -9,12 +9,17 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * One connection to a target, with at most one request on it.
@@ -31,17 +36,21 @@
     private var isReleasePending = false
     private var brokenBy: String? = null
 
-    /** Times of the pool; nanoseconds of the monotonic clock at which the connection may be idle no longer. */
-    var idleUntilNanoseconds: Long = 0
+    /** When the last answer on it ended; null before the first one. */
+    var idleSince: MonotonicInstant? = null
 
-    /** Idle time in milliseconds that the target announced last; null if it did not. */
-    var announcedIdleMilliseconds: Long? = null
+    /** How long it was idle before the present request; null for its first one, and once the answer has begun. */
+    private var idleBefore: Duration? = null
+
+    /** Idle time that the target announced last; null if it did not. */
+    var announcedIdle: Duration? = null
         private set
 
     val isOpen: Boolean get() = channel.isActive && brokenBy == null
 
     fun send(request: HttpRequest, body: ByteBuf, receiver: TargetListener) {
         listener = receiver
+        idleBefore = idleSince?.let { MonotonicClock.SYSTEM.now() - it }
         isSkipping = false
         channel.write(request)
         channel.writeAndFlush(DefaultLastHttpContent(body)).addListener(
@@ -70,12 +79,13 @@
 
     private fun readHead(head: HttpResponse) {
         val receiver = listener ?: return breakOff("bytes after an answer")
+        idleBefore = null
         if (head.decoderResult().isFailure) return breakOff("not an answer: ${head.decoderResult().cause()}")
         isSkipping = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !receiver.accepts(head)
         isBodyExpected = true
         if (!HttpUtil.isKeepAlive(head)) mayReuse = false
         if (isSkipping) return
-        announcedIdleMilliseconds = KeepAliveHeader.idleMilliseconds(head.headers())
+        announcedIdle = KeepAliveHeader.idleTime(head.headers())
         receiver.onHead(head)
     }
 
@@ -115,21 +125,19 @@
         val receiver = listener
         listener = null
         channel.close()
-        receiver?.onBroken(reason)
+        receiver?.onBroken(Breakage(reason, isForgotten = idleBefore?.let(pool::isForgotten) ?: false))
     }
 }
 
 /** Reads the parameters of the `Keep-Alive` header. */
 internal object KeepAliveHeader {
-    private const val MILLISECONDS_PER_SECOND = 1_000L
-
-    fun idleMilliseconds(headers: io.netty.handler.codec.http.HttpHeaders): Long? {
-        if (headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) return 0
+    fun idleTime(headers: HttpHeaders): Duration? {
+        if (headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)) return Duration.ZERO
         val parameters = headers.get("Keep-Alive") ?: return null
         return parameters.split(',')
             .map { it.trim() }
             .firstOrNull { it.startsWith("timeout=", ignoreCase = true) }
             ?.substringAfter('=')?.trim()?.toLongOrNull()
-            ?.times(MILLISECONDS_PER_SECOND)
+            ?.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetListener.kt
@@ -3,6 +3,14 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponse
 
+/**
+ * Why an answer will not be whole.
+ *
+ * @property isForgotten whether the target seems to have forgotten the connection while it was idle, so that the request
+ *   says nothing about the target itself. It may have run all the same.
+ */
+internal class Breakage(val reason: String, val isForgotten: Boolean)
+
 /** Receives the answer to one request on a connection to a target; called on the connection's event loop. */
 internal interface TargetListener {
     /** Whether the answer with this head belongs to the request; one that does not is read and dropped. */
@@ -17,6 +25,6 @@
     /** The answer is whole. */
     fun onComplete()
 
-    /** The answer will not be whole; [reason] says why. */
-    fun onBroken(reason: String)
+    /** The answer will not be whole. */
+    fun onBroken(breakage: Breakage)
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -15,15 +15,23 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponseDecoder
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.decision.attempt.IdleLimit
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
 import java.net.InetSocketAddress
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** What a kept connection is kept for: [owner] tells two targets apart that have used one address. */
 internal data class TargetKey(val address: NetworkAddress, val owner: String)
 
 /** The pool of [loop]; [onOpened] counts new connections. */
 internal class TargetPool(private val loop: EventLoop, private val onOpened: () -> Unit) {
+    private val clock = MonotonicClock.SYSTEM
+    private val limit = IdleLimit(DEFAULT_IDLE - IDLE_MARGIN)
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
 
     /** Calls [use] with an open connection, or [fail] with the reason why there is none. */
@@ -34,25 +42,27 @@
     }
 
     fun release(connection: TargetConnection) {
-        val announced = connection.announcedIdleMilliseconds ?: DEFAULT_IDLE_MILLISECONDS
-        val usable = minOf(announced, DEFAULT_IDLE_MILLISECONDS) - IDLE_MARGIN_MILLISECONDS
-        if (usable <= 0) {
+        val now = clock.now()
+        connection.idleSince = now
+        if (!isUsable(connection, now)) {
             connection.channel.close()
             return
         }
-        connection.idleUntilNanoseconds = System.nanoTime() + usable * NANOSECONDS_PER_MILLISECOND
         idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
     }
 
+    /** Whether a connection that broke off before the answer to a request began was forgotten, [idle] explains it. */
+    fun isForgotten(idle: Duration): Boolean = limit.lost(idle, clock.now())
+
     fun forget(connection: TargetConnection) {
         idle[connection.key]?.remove(connection)
     }
 
     /** Closes connections that were idle too long. */
     fun closeIdle() {
-        val now = System.nanoTime()
+        val now = clock.now()
         idle.values.forEach { list ->
-            val old = list.filter { it.idleUntilNanoseconds - now < 0 }
+            val old = list.filterNot { isUsable(it, now) }
             list.removeAll(old)
             old.forEach { it.channel.close() }
         }
@@ -62,15 +72,21 @@
     /** The newest first: it is the least likely to have been closed by the target meanwhile. */
     private fun takeIdle(key: TargetKey): TargetConnection? {
         val list = idle[key] ?: return null
-        val now = System.nanoTime()
+        val now = clock.now()
         while (list.isNotEmpty()) {
             val newest = list.removeLast()
-            if (newest.isOpen && newest.idleUntilNanoseconds - now > 0) return newest
+            if (newest.isOpen && isUsable(newest, now)) return newest
             newest.channel.close()
         }
         return null
     }
 
+    private fun isUsable(connection: TargetConnection, now: MonotonicInstant): Boolean {
+        val idleFor = connection.idleSince?.let { now - it } ?: return true
+        val announced = connection.announcedIdle ?: return idleFor < limit.at(now)
+        return idleFor < minOf(announced - IDLE_MARGIN, limit.at(now))
+    }
+
     private fun open(key: TargetKey, use: (TargetConnection) -> Unit, fail: (String) -> Unit) {
         onOpened()
         var connection: TargetConnection? = null
@@ -98,10 +114,9 @@
         const val CONNECT_TIMEOUT_MILLISECONDS = 600
 
         /** Idle time of connections whose target announces none. */
-        const val DEFAULT_IDLE_MILLISECONDS = 8_000L
+        val DEFAULT_IDLE = 8.seconds
 
         /** Subtracted from the announced idle time, so that the target is not the one to close. */
-        const val IDLE_MARGIN_MILLISECONDS = 500L
-        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+        val IDLE_MARGIN = 500.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.entry.EntryHost
+import org.buckthornwheel.forwarding.connection.Breakage
 import org.buckthornwheel.forwarding.connection.TargetConnection
 import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetListener
@@ -80,12 +81,12 @@
         exchange.onPeerRejected(host, rejection, retryAfterSeconds?.seconds)
     }
 
-    override fun onBroken(reason: String) {
+    override fun onBroken(breakage: Breakage) {
         if (isOver) return
         isOver = true
         relay?.discard()
-        log("broken", reason)
-        exchange.onFailed(null, host.name.value, reason, HttpResponseStatus.BAD_GATEWAY)
+        log("broken", breakage.reason)
+        exchange.onFailed(null, host.name.value, breakage.reason, HttpResponseStatus.BAD_GATEWAY)
     }
 
     private fun send(opened: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -15,6 +15,7 @@
 import org.buckthornwheel.decision.replica.AttemptResult
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.forwarding.connection.Breakage
 import org.buckthornwheel.forwarding.connection.TargetConnection
 import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetListener
@@ -116,8 +117,10 @@
         }
     }
 
-    override fun onBroken(reason: String) {
-        if (!isOver) broken(reason)
+    override fun onBroken(breakage: Breakage) {
+        if (isOver) return
+        val result = if (breakage.isForgotten) AttemptResult.ABANDONED else AttemptResult.BROKEN
+        broken(breakage.reason, result)
     }
 
     private fun send(opened: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
@@ -167,10 +170,10 @@
         exchange.onNotRun(decision.replica.id, counts)
     }
 
-    private fun broken(reason: String) {
+    private fun broken(reason: String, result: AttemptResult = AttemptResult.BROKEN) {
         relay?.discard()
         connection?.cancel()
-        end(AttemptResult.BROKEN)
+        end(result)
         log("broken") { put("reason", reason) }
         exchange.onFailed(decision.replica.id, null, reason, HttpResponseStatus.BAD_GATEWAY)
     }
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/connection/ForgottenConnectionTest.kt
@@ -0,0 +1,82 @@
+package org.buckthornwheel.forwarding.connection
+
+import org.buckthornwheel.forwarding.fixture.HostileReplica
+import org.buckthornwheel.forwarding.fixture.RawAnswer
+import org.buckthornwheel.forwarding.fixture.ReplicaSide
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.SeenRequest
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+internal class ForgottenConnectionTest {
+    private val host = RunningHost()
+    private val allHaveCome = CountDownLatch(KEPT)
+    private val answeredAt = ConcurrentHashMap<ReplicaSide, TimeSource.Monotonic.ValueTimeMark>()
+
+    /** Forgets connections that were idle; the first [KEPT] requests are answered together. */
+    private val replica = HostileReplica { request ->
+        val idle = answeredAt[this]?.elapsedNow() ?: Duration.ZERO
+        if (idle > FORGOTTEN_AFTER) return@HostileReplica reset()
+        answeredAt[this] = TimeSource.Monotonic.markNow()
+        allHaveCome.countDown()
+        allHaveCome.await(WAIT_SECONDS, TimeUnit.SECONDS)
+        send(whole(request))
+    }.also { host.add("r1", it) }
+
+    @AfterEach
+    fun close() {
+        replica.close()
+        host.close()
+    }
+
+    @Nested
+    inner class `given kept connections that the replica forgets while they are idle` {
+        @Test
+        fun `after one was lost, the others that rested as long are not used`() {
+            keepConnections()
+            Thread.sleep(IDLE_MILLISECONDS)
+            expectThat(ask("lost")?.status).isEqualTo(502)
+            val statuses = List(KEPT - 1) { ask("next-$it")?.status }
+            expectThat(statuses).isEqualTo(List(KEPT - 1) { 200 })
+        }
+
+        @Test
+        fun `the replica counts as sound`() {
+            keepConnections()
+            Thread.sleep(IDLE_MILLISECONDS)
+            ask("lost")
+            expectThat(ask("next")?.status).isEqualTo(200)
+            expectThat(host.process.replicas.all().single().ownLoad.requests).isEqualTo(0)
+        }
+    }
+
+    private fun keepConnections() {
+        val callers = List(KEPT) { host.caller() }
+        callers.forEachIndexed { number, caller -> caller.request("POST", "/act/x", "kept-$number") }
+        callers.forEach { caller -> caller.use { it.answer() } }
+    }
+
+    private fun ask(id: String): RawAnswer? = host.caller().use { caller ->
+        caller.request("POST", "/act/x", id)
+        caller.answer()
+    }
+
+    private fun whole(request: SeenRequest): String =
+        "HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
+
+    private companion object {
+        const val KEPT = 4
+        val FORGOTTEN_AFTER = 150.milliseconds
+        const val IDLE_MILLISECONDS = 300L
+        const val WAIT_SECONDS = 5L
+    }
+}
