--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHosts.kt
@@ -54,7 +54,7 @@
             if (present != null && present.host.incarnation > host.incarnation) return false
             val wasAlive = present != null && isAlive(present, now)
             known[host.name] = Known(host, now, isReady, maxOf(LEAST_LIFE, interval * MISSED_HEARTBEATS))
-            if (!wasAlive || present.isReady != isReady || present.host != host) view = null
+            if (!wasAlive || present.isReady != isReady) view = null
             !wasAlive
         }
 
@@ -165,7 +165,7 @@
         /** Silence after which a host gets no more heartbeats. */
         private val FORGET_AFTER = 120.seconds
 
-        /** Age up to which a view of all hosts is used again; a sixth of the silence that makes a host dead. */
-        private val VIEW_LIFE = 250.milliseconds
+        /** Age up to which a view of all hosts is used again; small against the silence that makes a host dead. */
+        private val VIEW_LIFE = 50.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatExchange.kt
@@ -16,7 +16,6 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHost
 import org.buckthornwheel.decision.entry.EntryHosts
-import org.buckthornwheel.decision.entry.HeartbeatRounds
 import org.buckthornwheel.decision.replica.PromptPart
 import org.buckthornwheel.decision.replica.RecentReads
 import org.buckthornwheel.decision.replica.ReplicaId
@@ -47,28 +46,27 @@
     private val description = SenderDescription.of(self)
     private lateinit var channel: Channel
     private lateinit var recovery: EstateRecovery
-    private val rounds = HeartbeatRounds(INTERVAL)
+    private var rounds = 0
 
     fun start(group: EventLoopGroup) {
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .handler(Receiver())
             .bind(InetSocketAddress(self.peerAddress.host, self.peerAddress.port)).sync().channel()
         recovery = EstateRecovery(self, own.estate, { hosts.followsPeers(clock.now()) }, channel.eventLoop(), log)
-        channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
     /** Sends one heartbeat to each host that should hear of this one now. */
     fun send() {
-        val work = ownWork()
-        if (!rounds.begin(isBusy = work.isNotEmpty())) return
         val now = clock.now()
-        rounds.standsBy(hosts.followsPeers(now))
+        val work = ownWork()
         val activity = Activity(work, ownReads(now))
         val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
         for ((host, interval) in intervals) {
-            if (rounds.isDue(host, interval)) send(host, interval, activity.takeIf { interval <= ACTIVITY_INTERVAL })
+            if (isDue(host, interval)) send(host, interval, activity.takeIf { interval <= ACTIVITY_INTERVAL })
         }
-        if (rounds.isEach(INTRODUCTION_ROUNDS)) introduce(intervals.keys.mapTo(HashSet()) { it.peerAddress })
+        if (rounds % INTRODUCTION_ROUNDS == 0) introduce(intervals.keys.mapTo(HashSet()) { it.peerAddress })
+        rounds += 1
         channel.flush()
         hosts.forgetOld(now)
         recovery.check(now)
@@ -80,6 +78,11 @@
         channel.flush()
     }
 
+    private fun isDue(host: EntryHost, interval: Duration): Boolean {
+        val every = maxOf(1, (interval.inWholeMilliseconds / INTERVAL_MILLISECONDS).toInt())
+        return (rounds + Math.floorMod(host.name.value.hashCode(), every)) % every == 0
+    }
+
     private fun introduce(told: Set<NetworkAddress>) {
         for (address in introductions) {
             if (address !in told && address != self.peerAddress) write(address, beat(INTRODUCTION_INTERVAL, null))
@@ -148,7 +151,7 @@
 
     private companion object {
         /** Pause between two rounds: a sixth of the silence after which a host counts as dead. */
-        val INTERVAL = 250.milliseconds
+        const val INTERVAL_MILLISECONDS = 250L
 
         /** Each so many rounds the addresses of the settings are told too, if they are not known hosts. */
         const val INTRODUCTION_ROUNDS = 4
