Tests of hostile replicas in three files, their setup and answer texts as fixtures

Change: HostileReplicaTest (bytes of an answer), FailingReplicaTest (breaks, failures, refusals), StreamRelayTest (streams, callers that leave, time limits); HostWithReplicas and AnswerTexts as fixtures.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetListener.kt
@@ -6,8 +6,8 @@
 /**
  * Why an answer will not be whole.
  *
- * @property isForgotten whether the target seems to have forgotten the connection while it was idle, so that the request
- *   says nothing about the target itself. It may have run all the same.
+ * @property isForgotten whether the target seems to have forgotten the connection while it was idle. Then the breakage
+ *   says nothing about the target; the request may have run all the same.
  */
 internal class Breakage(val reason: String, val isForgotten: Boolean)
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/connection/ForgottenConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/connection/ForgottenConnectionTest.kt
@@ -4,7 +4,7 @@
 import org.buckthornwheel.forwarding.fixture.RawAnswer
 import org.buckthornwheel.forwarding.fixture.ReplicaSide
 import org.buckthornwheel.forwarding.fixture.RunningHost
-import org.buckthornwheel.forwarding.fixture.SeenRequest
+import org.buckthornwheel.forwarding.fixture.whole
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -29,7 +29,7 @@
         answeredAt[this] = TimeSource.Monotonic.markNow()
         allHaveCome.countDown()
         allHaveCome.await(WAIT_SECONDS, TimeUnit.SECONDS)
-        send(whole(request))
+        send(whole(request, body = ""))
     }.also { host.add("r1", it) }
 
     @AfterEach
@@ -70,9 +70,6 @@
         caller.answer()
     }
 
-    private fun whole(request: SeenRequest): String =
-        "HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n"
-
     private companion object {
         const val KEPT = 4
         val FORGOTTEN_AFTER = 150.milliseconds
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/ShutdownTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/ShutdownTest.kt
@@ -4,6 +4,7 @@
 import org.buckthornwheel.forwarding.fixture.RawAnswer
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.whole
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Nested
@@ -19,7 +20,7 @@
     private val release = CountDownLatch(1)
     private val replica = HostileReplica { request ->
         if (request.line.contains("/held")) release.await()
-        send("HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n")
+        send(whole(request, body = ""))
     }.also { host.add("r1", it) }
     private val held = host.caller()
     private lateinit var stopping: Thread
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/StreamRelayTest.kt
@@ -0,0 +1,133 @@
+/*
+ * Streams, callers that leave, and requests whose time is over.
+ */
+
+package org.buckthornwheel.forwarding.transport
+
+import org.buckthornwheel.forwarding.fixture.HostWithReplicas
+import org.buckthornwheel.forwarding.fixture.HostileReplica
+import org.buckthornwheel.forwarding.fixture.ReplicaSide
+import org.buckthornwheel.forwarding.fixture.SeenRequest
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.chunk
+import org.buckthornwheel.forwarding.fixture.chunkedHead
+import org.buckthornwheel.forwarding.fixture.event
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeSource
+
+internal class StreamRelayTest {
+    private val setup = HostWithReplicas()
+
+    @AfterEach
+    fun close() = setup.close()
+
+    @Nested
+    inner class `given a stream` {
+        @Test
+        fun `a broken one is continued by another replica without a gap or a double`() {
+            val asked = ArrayList<HostileReplica>()
+            fun ReplicaSide.serve(request: SeenRequest) {
+                val after = request.header("Last-Event-Id")?.toInt() ?: 0
+                send(chunkedHead(request))
+                for (number in after + 1..5) {
+                    send(chunk(event(number)))
+                    if (after == 0 && number == 3) {
+                        send("20\r\nid: 4\ndata: to")
+                        Thread.sleep(50)
+                        return reset()
+                    }
+                }
+                send("0\r\n\r\n")
+            }
+            asked += setup.replica("r1") { serve(it) }
+            asked += setup.replica("r2") { serve(it) }
+            val answer = setup.ask("/stream/x")
+            expectThat(answer).isNotNull().and {
+                get { body }.isEqualTo((1..5).joinToString("") { event(it) })
+                get { isWhole }.isTrue()
+            }
+        }
+
+        @Test
+        fun `one whose continuation fails with an error is cut off at once`() {
+            fun ReplicaSide.serve(request: SeenRequest) {
+                if (request.header("Last-Event-Id") == null) {
+                    send(chunkedHead(request) + chunk(event(1)))
+                    Thread.sleep(50)
+                    return reset()
+                }
+                send("HTTP/1.1 500 Oops\r\nId: ${request.header("Id")}\r\nSignature: s\r\nContent-Length: 0\r\n\r\n")
+            }
+            setup.replica("r1") { serve(it) }
+            setup.replica("r2") { serve(it) }
+            setup.host.caller().use { caller ->
+                caller.request("POST", "/stream/x", "q1", "question")
+                val begun = TimeSource.Monotonic.markNow()
+                expectThat(caller.answer()).isNotNull().and {
+                    get { body }.contains("id: 1\n")
+                    get { isWhole }.isFalse()
+                }
+                // An idle connection would be closed after two seconds.
+                expectThat(begun.elapsedNow()).isLessThan(1_900.milliseconds)
+            }
+        }
+
+        @Test
+        fun `events are passed on as they come`() {
+            setup.replica { request ->
+                send(chunkedHead(request) + chunk(event(1)))
+                awaitClose(3_000)
+            }
+            setup.host.caller().use { caller ->
+                caller.request("POST", "/once/x", "q1")
+                caller.readHead()
+                expectThat(caller.readBytes(4 + event(1).length)).contains("id: 1")
+            }
+        }
+    }
+
+    @Nested
+    inner class `given a caller that leaves` {
+        @Test
+        fun `the replica's work is cancelled within half a second`() {
+            var isCancelled = false
+            val replica = setup.replica { isCancelled = awaitClose(500) }
+            setup.host.caller().use { caller ->
+                caller.request("POST", "/act/x", "q1", "question")
+                awaitUntil { replica.requests.size == 1 }
+            }
+            awaitUntil { isCancelled }
+        }
+
+        @Test
+        fun `a stream is cancelled between events`() {
+            var isCancelled = false
+            setup.replica { request ->
+                send(chunkedHead(request) + chunk(event(1)))
+                isCancelled = awaitClose(1_000)
+            }
+            setup.host.caller().use { caller ->
+                caller.request("POST", "/once/x", "q1")
+                caller.readHead()
+                caller.readBytes(4 + event(1).length)
+            }
+            awaitUntil { isCancelled }
+        }
+    }
+
+    @Test
+    fun `a request that is still unanswered at its route's time limit gets a final answer`() {
+        setup.replica { awaitClose(3_000) }
+        expectThat(setup.ask("/brief/x", method = "GET", body = "")?.status).isEqualTo(504)
+    }
+}
