--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/connection/ForgottenConnectionTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/connection/ForgottenConnectionTest.kt
@@ -1,9 +1,11 @@
 package org.buckthornwheel.forwarding.connection
 
+import org.buckthornwheel.forwarding.fixture.HostWithReplicas
 import org.buckthornwheel.forwarding.fixture.HostileReplica
 import org.buckthornwheel.forwarding.fixture.RawAnswer
 import org.buckthornwheel.forwarding.fixture.ReplicaSide
 import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.fixture.whole
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
@@ -59,6 +61,28 @@
         }
     }
 
+    @Test
+    fun `a caller that leaves says nothing about other idle connections`(): Unit = HostWithReplicas().use { setup ->
+        val bothHaveCome = CountDownLatch(2)
+        val replica = setup.replica { request ->
+            if (request.line.contains("/held")) return@replica
+            bothHaveCome.countDown()
+            bothHaveCome.await(WAIT_SECONDS, TimeUnit.SECONDS)
+            send(whole(request, body = ""))
+        }
+        val callers = List(2) { setup.host.caller() }
+        callers.forEachIndexed { number, caller -> caller.request("POST", "/act/x", "kept-$number") }
+        callers.forEach { caller -> caller.use { it.answer() } }
+        Thread.sleep(IDLE_MILLISECONDS)
+        setup.host.caller().use { caller ->
+            caller.request("POST", "/act/held", "left")
+            awaitUntil { replica.requests.size == 3 }
+        }
+        awaitUntil { setup.host.process.replicas.all().single().ownLoad.requests == 0 }
+        setup.ask("/act/x", id = "next")
+        expectThat(replica.connections.get()).isEqualTo(2)
+    }
+
     private fun keepConnections() {
         val callers = List(KEPT) { host.caller() }
         callers.forEachIndexed { number, caller -> caller.request("POST", "/act/x", "kept-$number") }
