--- a/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
@@ -38,7 +38,7 @@
         get() = minOf(remaining, targetLatency * LATENCY_FACTOR + SLOW_TOKEN * outputTokens)
 
     private companion object {
-        /** Latencies of overloaded services against their targets (MEASUREMENTS). */
+        /** An answer later than this many target latencies is rare; an estimate, no run gives it. */
         const val LATENCY_FACTOR = 3
 
         /** Time for a token at a full engine with 96 slots; from the users' sheets (3.41 ms and 0.097 ms a slot). */
