--- a/testing/src/main/kotlin/org/buckthornwheel/testing/LocalEstate.kt
+++ b/testing/src/main/kotlin/org/buckthornwheel/testing/LocalEstate.kt
@@ -32,6 +32,7 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.Base64
+import kotlin.io.path.readLines
 import kotlin.io.path.writeText
 
 /** Addresses and identity of one host of a local estate. */
@@ -150,6 +151,14 @@
         added = regions() + zones() + works() + targets() + accounts(),
     )
 
+    /** Prints the last lines of each process's output, for a test that fails where nobody can look at the files. */
+    public fun printOutputs() {
+        processes.values.forEach { process ->
+            println("--- ${process.name}, ${if (process.isAlive) "running" else "ended"}")
+            process.output.readLines().takeLast(PRINTED_LINES).forEach(::println)
+        }
+    }
+
     override fun close() {
         processes.values.reversed().forEach { it.close() }
     }
@@ -219,6 +228,9 @@
         private const val COMMAND_LINE = "org.buckthornwheel.commandline.MainKt"
         private const val COMMAND_SECONDS = 30L
         private const val CONTROL_BYTES_PER_SECOND = 8_000
+
+        /** Enough for the start of a host and its last decisions, few enough for a build's log. */
+        private const val PRINTED_LINES = 30
         private const val KEY_BYTES = 32
         private val KEY = Base64.getEncoder().encodeToString(ByteArray(KEY_BYTES) { it.toByte() })
 
