--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/observability/LineOutputTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/observability/LineOutputTest.kt
@@ -11,6 +11,8 @@
 import java.io.IOException
 import java.io.OutputStream
 import java.util.concurrent.CountDownLatch
+import java.util.logging.Level
+import java.util.logging.Logger
 import kotlin.time.Duration.Companion.seconds
 
 internal class LineOutputTest {
@@ -33,6 +35,18 @@
             .contains(""""host":"host-1","part":"request","event":"sent","request":"q1"}""")
     }
 
+    @Test
+    fun `warnings of libraries become lines`() {
+        val written = ByteArrayOutputStream()
+        val log = DecisionLog("host-1", LineOutput(written))
+        LibraryLog.install(log)
+        Logger.getLogger("some.library").log(Level.WARNING, "pool exhausted")
+        Logger.getLogger("some.library").log(Level.INFO, "pool grows")
+        log.flush(5.seconds)
+        expectThat(written.toString().lines().count { it.isNotEmpty() }).isEqualTo(1)
+        expectThat(written.toString()).contains(""""logger":"some.library","message":"pool exhausted"""")
+    }
+
     @Nested
     inner class `given an output that takes nothing` {
         private val release = CountDownLatch(1)
