--- a/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
@@ -37,11 +37,16 @@
         serviceWindow(service, now).requests.addLast(now)
     }
 
-    /** Withdraws one retry for [service], of a budget that [hosts] hosts share; false if none is left. */
-    public fun tryWithdraw(service: ServiceName, hosts: Int, now: MonotonicInstant): Boolean = synchronized(lock) {
+    /**
+     * Withdraws one retry for [service]; false if none is left.
+     *
+     * @param hosts number of hosts that share the allowance; null if this host may take no part of it.
+     */
+    public fun tryWithdraw(service: ServiceName, hosts: Int?, now: MonotonicInstant): Boolean = synchronized(lock) {
         val counted = serviceWindow(service, now)
         val permittedByRatio = ratio * ratioShare * counted.requests.size
-        val permitted = permittedByRatio + allowance * allowanceShare / maxOf(1, hosts)
+        val ownAllowance = hosts?.let { allowance * allowanceShare / maxOf(1, it) } ?: 0.0
+        val permitted = permittedByRatio + ownAllowance
         if (counted.retries.size + 1 > permitted) return false
         counted.retries.addLast(now)
         true
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
@@ -3,13 +3,33 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 
-/** The status of another host: whether a heartbeat of it arrived recently, and whether it is ready for callers. */
-internal data class EntryHostStatus(val host: EntryHostProfile, val isHeard: Boolean, val isReady: Boolean)
+/**
+ * The status of another host.
+ *
+ * @property isHeard whether a heartbeat of it arrived recently.
+ * @property isReady whether it is ready for callers.
+ * @property isRegistered whether it is registered in the store, as far as this host has learned.
+ */
+internal data class EntryHostStatus(
+    val host: EntryHostProfile,
+    val isHeard: Boolean,
+    val isReady: Boolean,
+    val isRegistered: Boolean,
+) {
+    /**
+     * Whether the host may be working, even if it cannot be heard.
+     *
+     * A registered host may be, however long it has been silent: a network partition that silences it also keeps this
+     * host from learning that the registration has expired.
+     */
+    val mayBeAlive: Boolean get() = isHeard || isRegistered
+}
 
 /**
  * The state of the known hosts at one moment, computed once and used for many requests.
  *
  * @property primaries the hosts that serve the callers of each zone, including this one if it is primary.
+ * @property possiblyAlive the other hosts that may be working.
  */
 internal class EntryHostSnapshot private constructor(
     val at: MonotonicInstant,
@@ -17,7 +37,13 @@
     val ready: List<EntryHostProfile>,
     val reachableRegions: Set<RegionName>,
     val primaries: Set<EntryHostProfile>,
+    val possiblyAlive: List<EntryHostProfile>,
+    self: EntryHostProfile,
 ) {
+    /** The hosts of this host's region among which those that use a cold replica are chosen. */
+    val coldReplicaCandidates: List<EntryHostProfile> =
+        PrimaryHosts.of(possiblyAlive.filter { it.region == self.region } + self)
+
     companion object {
         fun of(self: EntryHostProfile, at: MonotonicInstant, known: List<EntryHostStatus>): EntryHostSnapshot {
             val ready = known.filter { it.isReady }.map { it.host }
@@ -28,6 +54,8 @@
                 ready = ready,
                 reachableRegions = reachableRegions(self, ready, primaries),
                 primaries = primaries,
+                possiblyAlive = known.filter { it.mayBeAlive }.map { it.host },
+                self = self,
             )
         }
 
@@ -46,7 +74,8 @@
          * hosts. If all have sent one recently, the candidates are all of them, since one is about to become ready.
          */
         private fun primaries(self: EntryHostProfile, known: List<EntryHostStatus>): Set<EntryHostProfile> {
-            val zones = (known + EntryHostStatus(self, isHeard = true, isReady = true)).groupBy { it.host.zone }
+            val own = EntryHostStatus(self, isHeard = true, isReady = true, isRegistered = true)
+            val zones = (known + own).groupBy { it.host.zone }
             return zones.values.flatMapTo(HashSet()) { hosts ->
                 val candidates = hosts.filter { it.isReady }
                     .ifEmpty { hosts.filterNot { it.isHeard } }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -12,7 +12,6 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.replica.ReplicaId
-import org.buckthornwheel.decision.routing.RendezvousHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -24,6 +23,7 @@
         val heardAt: MonotonicInstant?,
         val isReady: Boolean,
         val aliveFor: Duration,
+        var isRegistered: Boolean,
     )
 
     private val lock = Any()
@@ -34,9 +34,11 @@
     public fun addRegistered(host: EntryHostProfile): Unit = synchronized(lock) {
         if (host.name == self.name) return@synchronized
         val present = known[host.name]
-        when {
-            present == null -> known[host.name] = Entry(host, null, isReady = false, Duration.ZERO)
-            present.host.incarnation < host.incarnation -> present.host = host
+        if (present == null) {
+            known[host.name] = Entry(host, null, isReady = false, Duration.ZERO, isRegistered = true)
+        } else {
+            present.isRegistered = true
+            if (present.host.incarnation < host.incarnation) present.host = host
         }
         snapshot = null
     }
@@ -47,6 +49,7 @@
      * A host of which a heartbeat has arrived is kept and counts until it falls silent.
      */
     public fun removeRegistered(name: HostName): Unit = synchronized(lock) {
+        known[name]?.isRegistered = false
         if (known[name]?.heardAt == null) known.remove(name)
         snapshot = null
     }
@@ -66,14 +69,18 @@
         val present = known[host.name]
         if (present != null && present.host.incarnation > host.incarnation) return false
         val wasAlive = present != null && isAlive(present, now)
-        known[host.name] = Entry(host, now, isReady, maxOf(MINIMUM_DEAD_AFTER, interval * MISSED_HEARTBEATS))
+        val aliveFor = maxOf(MINIMUM_DEAD_AFTER, interval * MISSED_HEARTBEATS)
+        known[host.name] = Entry(host, now, isReady, aliveFor, isRegistered = present?.isRegistered ?: false)
         if (!wasAlive || present.isReady != isReady) snapshot = null
         !wasAlive
     }
 
     /** Removes hosts that have been silent for so long that they must have been replaced. */
     public fun removeExpired(now: MonotonicInstant): Unit = synchronized(lock) {
-        known.values.removeIf { entry -> entry.heardAt?.let { now - it > FORGET_AFTER } ?: false }
+        val isRemoved = known.values.removeIf { entry ->
+            !entry.isRegistered && entry.heardAt?.let { now - it > FORGET_AFTER } ?: false
+        }
+        if (isRemoved) snapshot = null
     }
 
     /** All known hosts, alive or not. */
@@ -103,25 +110,13 @@
         return current.known.mapNotNull { (host) -> intervals.intervalTo(host)?.let { host to it } }.toMap()
     }
 
-    /** Whether this host is one of the [COLD_REPLICA_HOSTS] primaries of its region that may use a cold [replica]. */
-    public fun mayUseColdReplica(replica: ReplicaId, now: MonotonicInstant): Boolean {
-        val own = snapshot(now).primaries.filter { it.region == self.region }
-        return RendezvousHash.order(replica.value, own) { it.name.value }.take(COLD_REPLICA_HOSTS).any { it == self }
-    }
+    /** Whether this host is one of the [COLD_REPLICA_HOSTS] hosts of its region that may use a cold [replica]. */
+    public fun mayUseColdReplica(replica: ReplicaId, now: MonotonicInstant): Boolean =
+        self in ColdReplicaHosts.of(replica, snapshot(now).coldReplicaCandidates)
 
-    /**
-     * The number of hosts of [region], or of all regions, that may share a budget at [now], this one included.
-     *
-     * Hosts that are only registered or fell silent recently count too: they may be partitioned from this host but
-     * still working.
-     */
-    public fun budgetSharers(now: MonotonicInstant, region: RegionName?): Int = synchronized(lock) {
-        1 + known.values.count { entry ->
-            val heardAt = entry.heardAt
-            val mayBeAlive = heardAt == null || now - heardAt < BUDGET_SHARE_SILENCE
-            mayBeAlive && (region == null || entry.host.region == region)
-        }
-    }
+    /** The number of hosts of [region], or of all regions, that may share a budget at [now], this one included. */
+    public fun budgetSharers(now: MonotonicInstant, region: RegionName?): Int =
+        1 + snapshot(now).possiblyAlive.count { region == null || it.region == region }
 
     /**
      * The hosts that a caller in [zone] of [region] should use.
@@ -154,11 +149,12 @@
     private fun snapshot(now: MonotonicInstant): EntryHostSnapshot = synchronized(lock) {
         val present = snapshot
         if (present != null && now >= present.at && now - present.at < SNAPSHOT_MAX_AGE) return present
-        EntryHostSnapshot
-            .of(self, now, known.values.map { EntryHostStatus(it.host, isHeardAt(it, now), isReadyAt(it, now)) })
-            .also { snapshot = it }
+        EntryHostSnapshot.of(self, now, known.values.map { statusAt(it, now) }).also { snapshot = it }
     }
 
+    private fun statusAt(entry: Entry, now: MonotonicInstant): EntryHostStatus =
+        EntryHostStatus(entry.host, isHeardAt(entry, now), isReadyAt(entry, now), entry.isRegistered)
+
     private fun isHeardAt(entry: Entry, now: MonotonicInstant): Boolean =
         entry.heardAt?.let { now - it < BUDGET_SHARE_SILENCE } ?: false
 
@@ -167,7 +163,7 @@
     /** Limits and timeouts. */
     public companion object {
         /** Hosts that share the request rate of a cold replica; a single one that fails would leave it idle. */
-        public const val COLD_REPLICA_HOSTS: Int = 3
+        public const val COLD_REPLICA_HOSTS: Int = ColdReplicaHosts.MAXIMUM
 
         /** Minimum silence after which a host counts as dead; several heartbeats, since datagrams get lost. */
         private val MINIMUM_DEAD_AFTER = 1_500.milliseconds
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -1,8 +1,11 @@
 package org.buckthornwheel.forwarding.exchange
 
 import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
+import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.ReplicaRegistry
@@ -17,7 +20,7 @@
     private val clusterState: ClusterState,
     val hosts: KnownEntryHosts,
     val placement: Placement,
-    val budget: WindowedRetryBudget,
+    val retries: Retries,
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
@@ -32,5 +35,13 @@
 /** The host's view of manifest and replicas, and the recent prefills that it reports to other hosts. */
 internal class ClusterState(val routingState: RoutingState, val replicas: ReplicaRegistry, val reads: RecentPrefills)
 
+/** The retries that this host may send, as its part of the [budget] that all hosts share. */
+internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
+    fun recordRequest(service: ServiceName, now: MonotonicInstant): Unit = budget.recordRequest(service, now)
+
+    fun tryWithdraw(service: ServiceName, now: MonotonicInstant): Boolean =
+        budget.tryWithdraw(service, sharedBudgets.retrySharers(now), now)
+}
+
 /** The outputs for decisions and metrics. */
 internal class Observability(val log: DecisionLog, val meters: ForwardingMeters)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -69,7 +69,7 @@
         if (!context.shutdown.admits(policy, metadata, now)) {
             return reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "host is stopping", OTHER_HOST_RETRY_AFTER)
         }
-        if (policy.mayForward) context.budget.recordRequest(policy.service, now)
+        if (policy.mayForward) context.retries.recordRequest(policy.service, now)
         val delay = policy.deadline - now + DEADLINE_SLACK
         deadlineTimer = loop.schedule(::onDeadline, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         place()
@@ -145,8 +145,7 @@
         sent.start(pool, RequestHeaders.forPeer(request, envelope, stream.lastEventId), request)
     }
 
-    private fun spendRetryBudget(now: MonotonicInstant): Boolean =
-        context.budget.tryWithdraw(policy.service, context.hosts.budgetSharers(now, region = null), now)
+    private fun spendRetryBudget(now: MonotonicInstant): Boolean = context.retries.tryWithdraw(policy.service, now)
 
     /** Called when the request was written to a target. */
     fun onSent(): Unit = history.recordSent()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -13,6 +13,7 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
+import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Distances
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.replica.RecentPrefills
@@ -25,6 +26,7 @@
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.exchange.Observability
+import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
 import org.buckthornwheel.forwarding.front.EstateRequestStarter
 import org.buckthornwheel.forwarding.front.InboundConnection
@@ -83,6 +85,7 @@
     private val meters = ForwardingMeters(log::dropped)
     private val shutdown = HostShutdown()
     private val reads = RecentPrefills()
+    private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads),
@@ -96,16 +99,18 @@
             ),
             replicas,
             coldReplicaPolicy = { replica, now ->
-                !isColdRateLimited(replica) ||
-                    hosts.mayUseColdReplica(replica.id, now)
+                !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
             },
         ),
-        budget = WindowedRetryBudget(
-            settings.retryRatio,
-            settings.retryAllowance,
-            settings.retryWindow,
-            RETRY_RATIO_SHARE,
-            RETRY_ALLOWANCE_SHARE,
+        retries = Retries(
+            WindowedRetryBudget(
+                settings.retryRatio,
+                settings.retryAllowance,
+                settings.retryWindow,
+                RETRY_RATIO_SHARE,
+                RETRY_ALLOWANCE_SHARE,
+            ),
+            sharedBudgets,
         ),
         observability = Observability(log, meters),
         shutdown = shutdown,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -12,6 +12,8 @@
  * @property directoryAddress listen address of the directory endpoint for callers; null for none.
  * @property metricsAddress listen address of the metrics endpoint; null for none.
  * @property seedAddresses peer addresses of hosts to contact while no other host is known.
+ * @property settlingTime time after the start within which the host and the other hosts get to know each other; it
+ *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
  */
 public data class EntryHostSettings(
@@ -26,4 +28,5 @@
     public val retryWindow: Duration,
     public val shutdownGrace: Duration,
     public val directoryTimeToLive: Duration,
+    public val settlingTime: Duration,
 )
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/RoutingState.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/RoutingState.kt
@@ -19,6 +19,11 @@
     @Volatile
     private var closed: Set<ZoneName> = emptySet()
 
+    /** Time at which the first manifest was received; null before that. */
+    @Volatile
+    public var knownSince: MonotonicInstant? = null
+        private set
+
     private class ReceivedManifest(val manifest: Manifest, val at: MonotonicInstant)
 
     /** The manifest in force; null until one was received. */
@@ -34,7 +39,9 @@
     public fun updateManifest(manifest: Manifest): Boolean = synchronized(lock) {
         val present = newest
         if (present != null && present.manifest.version >= manifest.version) return false
-        newest = ReceivedManifest(manifest, clock.now())
+        val now = clock.now()
+        newest = ReceivedManifest(manifest, now)
+        if (knownSince == null) knownSince = now
         true
     }
 
