Responses of other requests and bytes without end no longer reach callers or run to the deadline

Change: a connection with undecoded bytes and no request waiting is closed; a response without id is not used on a connection that is in use again; a bounded number of discarded responses and bytes, of error bodies and of one event; an unsigned success fails at its head; progress of a stream is a whole event.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -24,12 +24,18 @@
 /**
  * A connection to a target, with at most one request at a time.
  *
- * It is returned to the pool only at the end of a read in which no bytes followed the response. Bytes after a complete
- * response belong to no request, and a connection that received such bytes is closed.
+ * It is returned to the pool only at the end of a read in which no bytes followed the response. Bytes that arrive while
+ * no request waits for a response belong to no request, even if they are only the first part of a head: the rest would
+ * look like the response to the next request. A connection that received such bytes is closed.
  */
-internal class TargetConnection(val channel: Channel, private val pool: TargetPool, val key: TargetKey) :
-    ChannelInboundHandlerAdapter() {
+internal class TargetConnection(
+    val channel: Channel,
+    private val pool: TargetPool,
+    val key: TargetKey,
+    private val decoder: ResponseDecoder,
+) : ChannelInboundHandlerAdapter() {
     private var listener: ResponseListener? = null
+    private var discarded = DiscardedResponses()
     private var isDiscarding = false
     private var isBodyExpected = false
     private var mayReuse = true
@@ -46,12 +52,18 @@
     var announcedIdle: Duration? = null
         private set
 
+    /** Whether the connection carried an earlier request, to which a late second response may still arrive. */
+    var isReused: Boolean = false
+        private set
+
     val isOpen: Boolean get() = channel.isActive && failureReason == null
 
     fun send(request: HttpRequest, body: ByteBuf, receiver: ResponseListener) {
         listener = receiver
+        isReused = idleSince != null
         idleBefore = idleSince?.let { MonotonicClock.SYSTEM.now() - it }
         isDiscarding = false
+        discarded = DiscardedResponses()
         channel.write(request)
         channel.writeAndFlush(DefaultLastHttpContent(body)).addListener(
             ChannelFutureListener { future -> if (!future.isSuccess) fail("write failed: ${future.cause()}") },
@@ -84,7 +96,7 @@
         isDiscarding = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !receiver.accepts(head)
         isBodyExpected = true
         if (!HttpUtil.isKeepAlive(head)) mayReuse = false
-        if (isDiscarding) return
+        if (isDiscarding) return if (discarded.addHead()) Unit else fail("too many responses to other requests")
         announcedIdle = KeepAliveHeader.idleTime(head.headers())
         receiver.onHead(head)
     }
@@ -92,6 +104,7 @@
     private fun readContent(content: HttpContent) {
         if (content.decoderResult().isFailure) return fail("unreadable body: ${content.decoderResult().cause()}")
         if (failureReason != null || !isBodyExpected) return
+        if (isDiscarding && !discarded.addBody(content.content())) return fail("too long a response to another request")
         if (!isDiscarding && content.content().isReadable) listener?.onContent(content.content().retain())
         if (content !is LastHttpContent) return
         isBodyExpected = false
@@ -103,6 +116,7 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (listener == null && decoder.hasUndecodedBytes) fail("bytes after the response")
         if (isReleasePending) {
             isReleasePending = false
             if (mayReuse && isOpen) pool.release(this) else channel.close()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
@@ -99,9 +98,10 @@
         KeepAliveOptions.set { option, value -> bootstrap.option(option, value) }
         bootstrap.handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                val handler = TargetConnection(channel, this@TargetPool, key)
+                val decoder = ResponseDecoder()
+                val handler = TargetConnection(channel, this@TargetPool, key, decoder)
                 connection = handler
-                channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder(), handler)
+                channel.pipeline().addLast(HttpRequestEncoder(), decoder, handler)
             }
         })
         bootstrap.connect(InetSocketAddress(key.address.host, key.address.port)).addListener(
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
@@ -17,8 +17,8 @@
 internal class EventStreamParser {
     private var pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
 
-    /** Number of bytes of the event that is not complete yet. */
-    val pendingBytes: Int get() = pending.readableBytes()
+    /** Whether the incomplete event is longer than any event of a sound stream. */
+    val isEventTooLong: Boolean get() = pending.readableBytes() > MAXIMUM_EVENT_BYTES
 
     /** Adds and releases [content]; returns the events that it completes. */
     fun add(content: ByteBuf): List<StreamEvent> {
@@ -66,6 +66,9 @@
 
     private companion object {
         const val INITIAL_BYTES = 512
+
+        /** A hundred times an event with some ten tokens. An event without end would fill the memory of the host. */
+        const val MAXIMUM_EVENT_BYTES = 65_536
         const val NOT_FOUND = -1
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -56,19 +56,26 @@
         connection?.setReading(reads)
     }
 
-    override fun accepts(head: HttpResponse): Boolean = true
+    override fun accepts(head: HttpResponse): Boolean {
+        val received = context.dialect.readResponse(head.status().code(), head.headers())
+        return received.requestId == null || received.requestId == proxiedRequest.metadata.id
+    }
 
     override fun onHead(head: HttpResponse) {
         if (isEnded) return
         outcome = PeerEnvelope.outcome(head.headers())
-        retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()
+        retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()?.takeIf { it.isFinite() }
         PeerEnvelope.remove(head.headers())
         relay = ResponseRelay(proxiedRequest, head)
     }
 
     override fun onContent(content: ByteBuf) {
         val currentRelay = relay
-        if (isEnded || currentRelay == null) content.release() else currentRelay.add(content)
+        if (isEnded || currentRelay == null) {
+            content.release()
+            return
+        }
+        if (currentRelay.add(content) == RelayResult.TOO_LONG) broken("too long a response")
     }
 
     override fun onComplete() {
@@ -82,11 +89,15 @@
     }
 
     override fun onFailure(failure: ConnectionFailure) {
-        if (isEnded) return
+        if (!isEnded) broken(failure.reason)
+    }
+
+    private fun broken(reason: String) {
         isEnded = true
         relay?.discard()
-        log("broken", failure.reason)
-        proxiedRequest.onFailed(null, host.name.value, failure.reason, HttpResponseStatus.BAD_GATEWAY)
+        connection?.cancel()
+        log("broken", reason)
+        proxiedRequest.onFailed(null, host.name.value, reason, HttpResponseStatus.BAD_GATEWAY)
     }
 
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -86,18 +86,22 @@
         val received = context.dialect.readResponse(head.status().code(), head.headers())
         responseMetadata = received
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
+        unusableReason(received, head)?.let { return broken(it) }
         relay = ResponseRelay(proxiedRequest, head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
 
     override fun onContent(content: ByteBuf) {
         val currentRelay = relay
-        if (isEnded || currentRelay == null || !mayRelay(currentRelay)) {
+        if (isEnded || currentRelay == null) {
             content.release()
             return
         }
-        recordProgress()
-        currentRelay.add(content)
+        when (currentRelay.add(content)) {
+            RelayResult.USABLE -> recordProgress()
+            RelayResult.INCOMPLETE -> Unit
+            RelayResult.TOO_LONG -> broken("too long a response")
+        }
     }
 
     override fun onComplete() {
@@ -109,9 +113,6 @@
         when {
             received.isWrongReplica -> notRun(response, counts = false)
             received.isCertainlyNotRun -> notRun(response, counts = true)
-            response.status.codeClass() == HttpStatusClass.SUCCESS && !received.isSigned -> broken(
-                "successful response without signature",
-            )
             response.status.codeClass() == HttpStatusClass.SUCCESS -> complete(response, ReplicaAttemptResult.ANSWERED)
             code in NOT_EXECUTED_STATUSES -> broken("status $code without a statement that the request was not run")
             code >= FIRST_SERVER_ERROR -> failed(response)
@@ -138,13 +139,16 @@
         newConnection.send(head, request.body.retainedDuplicate(), this)
     }
 
-    /** Whether the body of [response] may be relayed; otherwise it is discarded. A success needs a signature. */
-    private fun mayRelay(response: ResponseRelay): Boolean {
-        val received = responseMetadata ?: return false
-        if (response.status.codeClass() != HttpStatusClass.SUCCESS) return true
-        return received.isSigned
+    /** Why a response with this [head] cannot be the response to the request; null if it may be. */
+    private fun unusableReason(received: ResponseMetadata, head: HttpResponse): String? = when {
+        received.requestId == null && connection?.isReused == true -> "response without request id on a used connection"
+        head.status().codeClass() == HttpStatusClass.SUCCESS && !received.isSigned ->
+            "successful response without signature"
+
+        else -> null
     }
 
+    /** Records progress of the replica: data that the caller can use, not single bytes. */
     private fun recordProgress() {
         if (hasStartedResponding) {
             state.recordProgress(0, null, null, context.clock.now())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -15,8 +15,21 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import org.buckthornwheel.forwarding.dialect.HopByHopHeaders
 
+/** What a part of a response contributed to it. */
+internal enum class RelayResult {
+    /** It contained data that the caller can use. */
+    USABLE,
+
+    /** It did not complete an event. */
+    INCOMPLETE,
+
+    /** The response is longer than a sound one can be; nothing more of it must be relayed. */
+    TOO_LONG,
+}
+
 /** Relays the response with the given [head] to the caller of [proxiedRequest]. */
 internal class ResponseRelay(private val proxiedRequest: ProxiedRequest, head: HttpResponse) {
     val status: HttpResponseStatus = head.status()
@@ -30,12 +43,18 @@
         private set
 
     /** Adds a part of the body and releases [content]. */
-    fun add(content: ByteBuf) {
+    fun add(content: ByteBuf): RelayResult {
         if (isStream) return addEvents(content)
         val body = buffered
-        if (body == null) return proxiedRequest.streamBytes(content)
+        if (body == null) {
+            proxiedRequest.streamBytes(content)
+            return RelayResult.USABLE
+        }
         body.addComponent(true, content)
-        if (body.readableBytes() > MAXIMUM_BUFFERED_BYTES && !proxiedRequest.hasBegunStream) streamBuffered(body)
+        if (body.readableBytes() <= MAXIMUM_BUFFERED_BYTES || proxiedRequest.hasBegunStream) return RelayResult.USABLE
+        if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
+        streamBuffered(body)
+        return RelayResult.USABLE
     }
 
     /** Called when the response is complete. */
@@ -55,11 +74,17 @@
         eventParser.takeRemainder().release()
     }
 
-    private fun addEvents(content: ByteBuf) {
-        for (event in eventParser.add(content)) {
+    private fun addEvents(content: ByteBuf): RelayResult {
+        val events = eventParser.add(content)
+        for (event in events) {
             begin()
             proxiedRequest.streamEvent(event)
         }
+        return when {
+            eventParser.isEventTooLong -> RelayResult.TOO_LONG
+            events.isEmpty() -> RelayResult.INCOMPLETE
+            else -> RelayResult.USABLE
+        }
     }
 
     private fun completeStream() {
@@ -82,7 +107,10 @@
     }
 
     private companion object {
-        /** Largest response that is buffered; non-streaming responses in the users' data sheets are below 5 kB. */
+        /**
+         * Largest response that is buffered, and largest body of an error response. Non-streaming responses in the
+         * users' data sheets are below 5 kB.
+         */
         const val MAXIMUM_BUFFERED_BYTES = 262_144
         const val MAXIMUM_COMPONENTS = 1_024
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -53,11 +53,20 @@
             .handler(Receiver())
             .bind(InetSocketAddress(self.peerAddress.host, self.peerAddress.port)).sync().channel()
         recovery = EstateRecovery(self, local.estate, { hosts.followsPrimaries(clock.now()) }, channel.eventLoop(), log)
-        channel.eventLoop().scheduleWithFixedDelay(::send, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+        channel.eventLoop().scheduleWithFixedDelay(::sendAndLogFailure, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
+    }
+
+    /** An exception would end the periodic task, and other hosts would take this one for dead. */
+    private fun sendAndLogFailure() {
+        try {
+            send()
+        } catch (failure: RuntimeException) {
+            log.write(LogPart.MEMBERSHIP, "heartbeats not sent") { put("reason", failure.toString()) }
+        }
     }
 
     /** Sends a heartbeat to each host for which one is due. */
-    fun send() {
+    private fun send() {
         val now = clock.now()
         val work = ownWork()
         val activity = Activity(work, ownReads(now))
