A malformed value costs one entry, not the loop that reads it

Cause: a replica entry or manifest with NaN as a duration threw in the callback of the watch, which then was never scheduled again: the host followed the store no more (EstateWatcherTest red on after 6 s). The daemon's NoteLog, ZoneRegistrationPort and ModelRepository threw on malformed values; one target's malformed index kept orders from all targets.

Instants saturate. Red before (EstateWatcherTest), green after; MalformedValuesTest passes, and was not run on the old code. ZoneRegistrationPort has no test of its own for it.

--- a/api/src/main/kotlin/org/buckthornwheel/api/MonotonicInstant.kt
+++ b/api/src/main/kotlin/org/buckthornwheel/api/MonotonicInstant.kt
@@ -10,9 +10,14 @@
  */
 @JvmInline
 public value class MonotonicInstant(public val nanoseconds: Long) : Comparable<MonotonicInstant> {
-    /** The instant [duration] later. */
-    public operator fun plus(duration: Duration): MonotonicInstant =
-        MonotonicInstant(nanoseconds + duration.inWholeNanoseconds)
+    /** The instant [duration] later; the latest or earliest instant if the sum is out of range, as with infinity. */
+    public operator fun plus(duration: Duration): MonotonicInstant {
+        val added = duration.inWholeNanoseconds
+        val sum = nanoseconds + added
+        val isOverflow = (nanoseconds xor sum) and (added xor sum) < 0
+        if (!isOverflow) return MonotonicInstant(sum)
+        return MonotonicInstant(if (added > 0) Long.MAX_VALUE else Long.MIN_VALUE)
+    }
 
     /** The time from [earlier] to this instant; negative if [earlier] is later. */
     public operator fun minus(earlier: MonotonicInstant): Duration = (nanoseconds - earlier.nanoseconds).nanoseconds
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/action/ZoneRegistrationPort.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/action/ZoneRegistrationPort.kt
@@ -4,6 +4,7 @@
 import arrow.core.raise.either
 import kotlinx.serialization.json.Json
 import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.daemon.decodeStored
 import org.buckthornwheel.decision.ledger.ActionClaim
 import org.buckthornwheel.decision.ledger.ActionEntry
 import org.buckthornwheel.decision.ledger.HelloAnswer
@@ -36,7 +37,7 @@
     private val ownKey = prefix + self.address
 
     override suspend fun registeredAtOwnAddress(): Either<ZoneCallFailure, RegisteredHost?> =
-        store.read(ownKey).asCallResult().map { value -> value?.let(::hostOf) }
+        either { store.read(ownKey).bind()?.let { hostOf(it).bind() } }.asCallResult()
 
     override suspend fun claimsOfPredecessors(): Either<ZoneCallFailure, List<ActionClaim>> =
         claims.list().asCallResult().map { list -> list.filter { it.hold.holder.address == self.address } }
@@ -44,7 +45,7 @@
     override suspend fun register(predecessor: RegisteredHost?): Either<ZoneCallFailure, Boolean> = either {
         val value = ByteArrayValue(Json.encodeToString(self).encodeToByteArray())
         val present = store.read(ownKey).asCallResult().bind()
-        if (present?.let(::hostOf) != predecessor) return@either false
+        if (present?.let { hostOf(it).asCallResult().bind() } != predecessor) return@either false
         val result = if (present == null) {
             store.createIfAbsent(ownKey, value)
         } else {
@@ -53,13 +54,14 @@
         result.asCallResult().bind() is WriteResult.Written
     }
 
-    override suspend fun registered(): Either<ZoneCallFailure, List<RegisteredHost>> =
-        store.list(prefix, null, MAXIMUM_HOSTS).asCallResult()
-            .map { listing -> listing.values.sortedBy { it.version }.map(::hostOf) }
+    override suspend fun registered(): Either<ZoneCallFailure, List<RegisteredHost>> = either {
+        val listing = store.list(prefix, null, MAXIMUM_HOSTS).bind()
+        listing.values.sortedBy { it.version }.map { hostOf(it).bind() }
+    }.asCallResult()
 
     override suspend fun unregister(): Either<ZoneCallFailure, Unit> = either {
         val present = store.read(ownKey).asCallResult().bind() ?: return@either
-        if (hostOf(present) == self) store.delete(ownKey, present.version).asCallResult().bind()
+        if (hostOf(present).asCallResult().bind() == self) store.delete(ownKey, present.version).asCallResult().bind()
     }
 
     override suspend fun recordPromise(claim: ActionClaim): Either<ZoneCallFailure, Unit> =
@@ -83,8 +85,8 @@
         registered: Set<RegisteredHost>,
     ): Either<ZoneCallFailure, Unit> = peers.call<ActionAcknowledged>(SayFarewell(peer, self, registered)).map { }
 
-    private fun hostOf(value: StoredValue): RegisteredHost =
-        Json.decodeFromString<RegisteredHost>(value.value.bytes.decodeToString())
+    private fun hostOf(value: StoredValue): Either<PlatformFailure, RegisteredHost> =
+        decodeStored("decode registration", value) { Json.decodeFromString<RegisteredHost>(it) }
 
     private fun <Result> Either<PlatformFailure, Result>.asCallResult(): Either<ZoneCallFailure, Result> =
         mapLeft { ZoneCallFailure(it.step, it.peer, it.detail) }
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/configuration/ConfigurationFollower.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/configuration/ConfigurationFollower.kt
@@ -69,9 +69,9 @@
     /** Reads and applies every missing note; returns the version of the service's state at the last read. */
     private suspend fun catchUp(): Either<PlatformFailure, Long> {
         while (true) {
-            val listing = log.readAfter(estateHolder.current().revision).getOrElse { return Either.Left(it) }
-            listing.values.map(log::decode).forEach(estateHolder::offer)
-            if (listing.values.isEmpty()) return Either.Right(listing.version)
+            val page = log.readAfter(estateHolder.current().revision).getOrElse { return Either.Left(it) }
+            page.notes.forEach(estateHolder::offer)
+            if (page.notes.isEmpty()) return Either.Right(page.version)
         }
     }
 
@@ -87,7 +87,7 @@
     }
 
     private fun apply(event: WatchEvent) {
-        if (event is WatchEvent.Put) estateHolder.offer(log.decode(event.value))
+        if (event is WatchEvent.Put) estateHolder.offer(log.decode(event.value).getOrElse { throw WatchEnded(it) })
     }
 
     private class WatchEnded(val failure: PlatformFailure) : CancellationException("watch ended")
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/configuration/NoteSubmitter.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/configuration/NoteSubmitter.kt
@@ -43,12 +43,12 @@
     /** Applies the log up to its end; returns a result if the log has the note already or the platform fails. */
     private suspend fun readNewest(note: ReleaseNote): Submission? {
         while (true) {
-            val values = log.readAfter(estateHolder.current().revision).fold(
+            val notes = log.readAfter(estateHolder.current().revision).fold(
                 ifLeft = { return Submission.Unavailable(it, mayHaveTakenEffect = false) },
-                ifRight = { it.values },
+                ifRight = { it.notes },
             )
-            values.map(log::decode).forEach(estateHolder::offer)
-            if (values.isEmpty()) break
+            notes.forEach(estateHolder::offer)
+            if (notes.isEmpty()) break
         }
         val existing = estateHolder.notesAfter(Revision.NONE, Int.MAX_VALUE).firstOrNull { it.note.id == note.id }
         return existing?.let { Submission.Accepted(it.revision) }
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/orders/ModelRepository.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/orders/ModelRepository.kt
@@ -1,7 +1,9 @@
 package org.buckthornwheel.daemon.orders
 
 import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.left
+import arrow.core.raise.catch
 import arrow.core.right
 import io.ktor.client.HttpClient
 import io.ktor.client.request.header
@@ -32,8 +34,13 @@
 internal class ModelRepository(private val client: HttpClient, private val timeout: Duration) {
     /** Lists the model versions of [target] and whether they are ready. */
     suspend fun inventory(target: TargetItem): Either<RepositoryFailure, List<ModelVersionStatus>> =
-        call("index", target, "/v2/repository/index", IndexRequest(), fencing = null).map { text ->
-            format.decodeFromString<List<IndexEntry>>(text).map { it.toStatus() }
+        call("index", target, "/v2/repository/index", IndexRequest(), fencing = null).flatMap { text ->
+            catch(
+                { format.decodeFromString<List<IndexEntry>>(text).map { it.toStatus() }.right() },
+                { malformed: IllegalArgumentException ->
+                    RepositoryFailure("decode index", target.name.value, malformed.toString()).left()
+                },
+            )
         }
 
     /** Sends [order] with [fencing]; returns when the target has accepted it, which is before it is carried out. */
