Requests that arrive before the manifest wait for it; damaged messages found by fuzzing

A rejected caller comes back after 0.2 s on a new connection, often to a host in the same state. Ruled out: opening the listeners later; callers would meet resets and hosts of other regions in the same state. Change: such requests wait until 0.6 s after the start of their host, then the host rejects at once, as it cannot reach the store. Their deadline runs from their arrival.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -90,7 +89,7 @@
                 Cbor.decodeFromByteArray<PeerEnvelope>(Base64.getUrlDecoder().decode(text))
             } catch (_: IllegalArgumentException) {
                 null
-            } catch (_: SerializationException) {
+            } catch (_: IndexOutOfBoundsException) {
                 null
             }
         }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -29,14 +29,24 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
 import org.buckthornwheel.forwarding.exchange.ResponseSink
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
-/** Creates the proxied request for a complete request; null if a response was sent immediately. */
-internal fun interface RequestStarter {
-    fun start(head: HttpRequest, body: ByteBuf, connection: InboundConnection): ProxiedRequest?
+/** A complete request, and the time [at] which its last byte was read. */
+internal class ArrivedRequest(val head: HttpRequest, val body: ByteBuf, val at: MonotonicInstant)
+
+/** Starts complete requests. */
+internal interface RequestStarter {
+    /** Whether a request cannot be started yet, but probably soon. */
+    fun mustWait(): Boolean
+
+    /** The proxied request for [request]; null if a response was sent immediately. */
+    fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest?
 }
 
 /** Limits of a connection, from the manifest in force. */
@@ -51,6 +61,7 @@
     private lateinit var context: ChannelHandlerContext
     private val queue = ArrayDeque<HttpObject>()
     private var assembler: RequestAssembler? = null
+    private var waiting: ArrivedRequest? = null
     private var proxiedRequest: ProxiedRequest? = null
     private var keepsAlive = true
     private var isHttp10 = false
@@ -60,7 +71,9 @@
 
     val eventLoop get() = context.channel().eventLoop()
 
-    private val isBusy: Boolean get() = proxiedRequest != null || assembler != null || isReadingHead
+    private val hasRequest: Boolean get() = proxiedRequest != null || waiting != null
+
+    private val isBusy: Boolean get() = hasRequest || assembler != null || isReadingHead
 
     override val isWritable: Boolean get() = context.channel().isWritable
 
@@ -85,7 +98,7 @@
             ReferenceCountUtil.release(message)
             return
         }
-        if (proxiedRequest != null) return enqueue(message)
+        if (hasRequest) return enqueue(message)
         read(message)
     }
 
@@ -95,6 +108,8 @@
         connections.closed(this)
         assembler?.discard()
         assembler = null
+        waiting?.body?.release()
+        waiting = null
         queue.forEach(ReferenceCountUtil::release)
         queue.clear()
         val running = proxiedRequest
@@ -184,7 +199,7 @@
     }
 
     private fun readQueue() {
-        while (proxiedRequest == null && !isClosing) {
+        while (!hasRequest && !isClosing) {
             val message = queue.removeFirstOrNull() ?: break
             read(message)
         }
@@ -218,7 +233,14 @@
         if (content !is LastHttpContent) return
         assembler = null
         timer?.cancel(false)
-        starter.start(collecting.head, collecting.takeBody(), this)?.let { started ->
+        startOrWait(ArrivedRequest(collecting.head, collecting.takeBody(), MonotonicClock.SYSTEM.now()))
+    }
+
+    private fun startOrWait(request: ArrivedRequest) {
+        waiting = request
+        if (starter.mustWait()) return scheduleTimer(START_CHECK_INTERVAL) { startOrWait(request) }
+        waiting = null
+        starter.start(request, this)?.let { started ->
             proxiedRequest = started
             started.start()
         }
@@ -241,5 +263,8 @@
     private companion object {
         /** Number of queued messages of pipelined requests above which reading is paused. */
         const val MAXIMUM_QUEUED_MESSAGES = 64
+
+        /** Interval between checks whether a waiting request can be started; small compared to a target latency. */
+        val START_CHECK_INTERVAL = 10.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -14,6 +14,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.manifest.Manifest
 import org.buckthornwheel.decision.manifest.Route
+import org.buckthornwheel.decision.startup.StartupAdmission
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestMetadata
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
@@ -25,17 +26,24 @@
 import java.util.concurrent.ThreadLocalRandom
 
 /** Starts the requests of callers, with the policy of their route. */
-internal class CallerRequestStarter(private val context: ForwardingContext, private val pool: TargetPool) :
-    RequestStarter {
-    override fun start(head: HttpRequest, body: ByteBuf, connection: InboundConnection): ProxiedRequest? {
-        val rejection = RequestRejection(context, body, connection)
+internal class CallerRequestStarter(
+    private val context: ForwardingContext,
+    private val pool: TargetPool,
+    private val startup: StartupAdmission,
+) : RequestStarter {
+    override fun mustWait(): Boolean = context.routingState.manifest == null && !context.shutdown.hasBegun &&
+        startup.mayWait(context.clock.now())
+
+    override fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest? {
+        val head = request.head
+        val rejection = RequestRejection(context, request.body, connection)
         val metadata = context.dialect.readRequest(head.headers())
             ?: return rejection.send(HttpResponseStatus.BAD_REQUEST, "missing request identifier", null)
         val manifest = context.routingState.manifest
             ?: return rejection.send(HttpResponseStatus.SERVICE_UNAVAILABLE, "no manifest yet", metadata)
         val route = route(manifest, head, metadata, rejection) ?: return null
-        val request = ReceivedRequest(head, body, metadata, policy(manifest, route, metadata, context.clock.now()))
-        return ProxiedRequest(context, pool, connection.eventLoop, request, connection)
+        val received = ReceivedRequest(head, request.body, metadata, policy(manifest, route, metadata, request.at))
+        return ProxiedRequest(context, pool, connection.eventLoop, received, connection)
     }
 
     /** The route of the request; null if the request was rejected. */
@@ -63,7 +71,7 @@
         manifest: Manifest,
         route: Route,
         metadata: RequestMetadata,
-        now: MonotonicInstant,
+        arrivedAt: MonotonicInstant,
     ): RequestPolicy {
         val limit = metadata.remaining?.let { minOf(it, route.timeout) } ?: route.timeout
         return RequestPolicy(
@@ -76,8 +84,8 @@
             targetLatency = route.targetLatency,
             maximumAttempts = maxOf(1, route.maximumAttempts),
             homeRegions = route.homeRegions,
-            arrivedAt = now,
-            deadline = now + limit,
+            arrivedAt = arrivedAt,
+            deadline = arrivedAt + limit,
             mayForward = true,
         )
     }
@@ -86,15 +94,18 @@
 /** Starts requests that a host of another region forwards. */
 internal class PeerRequestStarter(private val context: ForwardingContext, private val pool: TargetPool) :
     RequestStarter {
-    override fun start(head: HttpRequest, body: ByteBuf, connection: InboundConnection): ProxiedRequest? {
-        val rejection = RequestRejection(context, body, connection)
+    override fun mustWait(): Boolean = false
+
+    override fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest? {
+        val head = request.head
+        val rejection = RequestRejection(context, request.body, connection)
         val envelope = PeerEnvelope.extract(head.headers())
         val metadata = context.dialect.readRequest(head.headers())
         if (envelope == null || metadata == null) {
             return rejection.send(HttpResponseStatus.BAD_REQUEST, "missing or invalid envelope", metadata)
         }
-        val request = ReceivedRequest(head, body, metadata, envelope.policy(context.clock.now()))
-        return ProxiedRequest(context, pool, connection.eventLoop, request, connection)
+        val received = ReceivedRequest(head, request.body, metadata, envelope.policy(request.at))
+        return ProxiedRequest(context, pool, connection.eventLoop, received, connection)
     }
 }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -20,6 +20,7 @@
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.decision.shutdown.ShutdownAdmission
+import org.buckthornwheel.decision.startup.StartupAdmission
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.exchange.ClusterState
@@ -152,8 +153,9 @@
             listeners +=
                 factory.openEndpoint(it) { _, _ -> EndpointResponse(OK, body = meters.text()) }
         }
+        val startup = StartupAdmission(clock.now())
         listeners += factory.openProxy(settings.self.callerAddress, ::headerBytes) {
-            InboundConnection(callerStarter(it.eventLoop()), ::callerLimits, callerConnections)
+            InboundConnection(callerStarter(it.eventLoop(), startup), ::callerLimits, callerConnections)
         }
         loops.next().scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
         log.write(LogPart.HOST, "started") {
@@ -185,7 +187,8 @@
     private fun pool(loop: EventLoop): TargetPool =
         pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened) }
 
-    private fun callerStarter(loop: EventLoop): RequestStarter = CallerRequestStarter(context, pool(loop))
+    private fun callerStarter(loop: EventLoop, startup: StartupAdmission): RequestStarter =
+        CallerRequestStarter(context, pool(loop), startup)
 
     private fun peerStarter(loop: EventLoop): RequestStarter = EstateRequestStarter({
         estate
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -8,7 +8,6 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
 import kotlinx.serialization.cbor.CborLabel
@@ -105,13 +104,13 @@
             preferCborLabelsOverNames = true
         }
 
-        /** Decodes a datagram; null if it is not a heartbeat. */
+        /** Decodes a datagram; null if it is not a heartbeat. The codec reads beyond the end of damaged ones. */
         fun decode(bytes: ByteArray): Heartbeat? = try {
             CODEC.decodeFromByteArray<Heartbeat>(bytes)
-        } catch (_: SerializationException) {
-            null
         } catch (_: IllegalArgumentException) {
             null
+        } catch (_: IndexOutOfBoundsException) {
+            null
         }
     }
 }
