Log lines name the shared prompt parts of a request, and which run of a replica a response broke off at

The logs could not tell whether the content of a request, its retries, or load ends the replicas: no line said which parts of a prompt a request has.

Change: 'sent' and 'broken' carry 'parts' (at most eight identifiers); 'broken' carries the start time of the replica's run and whether the response had begun; buckthornwheel_target_broken counts. No decision is changed.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -54,6 +54,7 @@
             put("missing", decision.missingTokens)
             put("load", decision.load.requests)
             put("memory", decision.load.tokens)
+            put("parts", sharedPartsText())
             decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
         }
@@ -180,7 +181,14 @@
         relay?.discard()
         connection?.cancel()
         end(result)
-        log("broken") { put("reason", reason) }
+        if (result == ReplicaAttemptResult.BROKEN) context.meters.broken()
+        log("broken") {
+            put("reason", reason)
+            put("run", decision.replica.startedAt)
+            put("begun", hasStartedResponding)
+            put("parts", sharedPartsText())
+            put("milliseconds", (context.clock.now() - startedAt).inWholeMilliseconds)
+        }
         proxiedRequest.onFailed(decision.replica.id, null, reason, HttpResponseStatus.BAD_GATEWAY)
     }
 
@@ -214,9 +222,16 @@
         }
     }
 
+    /** Identifiers of the prompt parts that other requests may share. */
+    private fun sharedPartsText(): String =
+        proxiedRequest.metadata.parts.dropLast(1).take(MAXIMUM_LOGGED_PARTS).joinToString(",") { it.id }
+
     private companion object {
         const val FIRST_SERVER_ERROR = 500
 
+        /** Limit on the length of a log line. */
+        const val MAXIMUM_LOGGED_PARTS = 8
+
         /** Statuses with which the gateway guarantees its callers that a request was not run. */
         val NOT_EXECUTED_STATUSES = setOf(408, 421, 429, 503)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -29,6 +29,9 @@
     /** Counts a request refused by a replica. */
     internal fun refused(): Unit = meters.refusals.increment()
 
+    /** Counts a response of a replica that broke off or was unusable. */
+    internal fun broken(): Unit = meters.broken.increment()
+
     /** Counts a request forwarded to another region. */
     internal fun forwarded(): Unit = meters.forwards.increment()
 
@@ -45,6 +48,7 @@
     val connections = counter("buckthornwheel.target.connections")
     val sends = counter("buckthornwheel.target.sends")
     val refusals = counter("buckthornwheel.target.refusals")
+    val broken = counter("buckthornwheel.target.broken")
     val repeats = counter("buckthornwheel.target.repeats")
     val forwards = counter("buckthornwheel.peer.forwards")
     private val responseTimers = HashMap<Int, Timer>()
