Prompt parts that crash replicas are quarantined on all hosts

Cause: a host forgets a request with its attempt. Nothing connected the ends of two replicas, so new requests with the part, and retries of old ones, went to the next replica.

Change: hosts record the shared parts that are in progress when a replica is lost, tell each other in heartbeats, and reject a part after three confirmed crashes that no completed request contradicts (decision 0009). Lost requests whose part was in two crashes are not retried; requests in progress with a quarantined part are cancelled before they begin. A refused or reset connection is now told apart from other failures of an attempt.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -12,6 +12,7 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.routing.RendezvousHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -114,6 +115,10 @@
     public fun mayUseColdReplica(replica: ReplicaId, now: MonotonicInstant): Boolean =
         self in ColdReplicaHosts.of(replica, snapshot(now).coldReplicaCandidates)
 
+    /** Whether this host is the one that probes the quarantined prompt [part]. */
+    public fun mayProbe(part: String, now: MonotonicInstant): Boolean =
+        self == RendezvousHash.order(part, snapshot(now).primaries) { it.name.value }.firstOrNull()
+
     /** The number of hosts of [region], or of all regions, that may share a budget at [now], this one included. */
     public fun budgetSharers(now: MonotonicInstant, region: RegionName?): Int =
         1 + snapshot(now).possiblyAlive.count { region == null || it.region == region }
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/PromptPartQuarantine.kt
@@ -0,0 +1,175 @@
+package org.buckthornwheel.decision.quarantine
+
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Keeps requests away from replicas that their content would crash.
+ *
+ * Hosts share what they know of crashes, of completed requests and of quarantined parts, since each host sees only a
+ * few of the requests. Each host decides on its own; a decision of one is adopted by all. After a while, a single host
+ * sends a single request as a probe, so that a part that was blamed by mistake, or that no longer does harm, is
+ * released.
+ * Thread-safe.
+ */
+public class PromptPartQuarantine {
+    private val lock = Any()
+    private val crashes = ReplicaCrashes()
+    private val completed = CompletedParts()
+    private val quarantined = LinkedHashMap<String, QuarantinedPart>()
+
+    /** Read without the lock for each request. */
+    @Volatile
+    private var quarantinedParts: Set<String> = emptySet()
+
+    /** Number of quarantined parts. */
+    public val size: Int get() = quarantinedParts.size
+
+    /**
+     * Records that the connection of a request with the shared [parts] to [run] was lost. [isCertain] is false if the
+     * response may have ended with its connection.
+     */
+    public fun recordLoss(run: ReplicaRun, parts: List<String>, isCertain: Boolean, now: MonotonicInstant): Unit =
+        synchronized(lock) { crashes.addLoss(run, parts, isCertain, now) }
+
+    /** Records that [run] refused a connection. */
+    public fun recordRefusal(run: ReplicaRun, now: MonotonicInstant): Unit =
+        synchronized(lock) { crashes.addRefusal(run, now) }
+
+    /** Records that a replica completed a request with the shared [parts]. */
+    public fun recordCompletion(parts: List<String>, now: MonotonicInstant): Unit = synchronized(lock) {
+        parts.forEach { completed.add(it, now) }
+    }
+
+    /** Whether a request with the shared [parts] may be sent; [mayProbe] is whether this host probes a given part. */
+    public fun admit(parts: List<String>, now: MonotonicInstant, mayProbe: (String) -> Boolean): QuarantineAdmission {
+        if (parts.none { it in quarantinedParts }) return QuarantineAdmission.Admitted
+        return synchronized(lock) {
+            val entries = parts.mapNotNull { quarantined[it] }
+            entries.forEach { quarantined[it.part] = it.copy(requestedAt = now) }
+            val blocking = entries.firstOrNull { !isProbeDue(it, now) || !mayProbe(it.part) }
+            when {
+                blocking != null -> QuarantineAdmission.Rejected(blocking.part, retryAt(blocking, now))
+                entries.isEmpty() -> QuarantineAdmission.Admitted
+                else -> QuarantineAdmission.Probe(entries.first().part)
+            }
+        }
+    }
+
+    /** Records that a probe for [part] was sent to a replica. */
+    public fun recordProbe(part: String, now: MonotonicInstant): Unit = synchronized(lock) {
+        quarantined.computeIfPresent(part) { _, entry ->
+            entry.copy(since = now, probes = entry.probes + 1, nextProbeAt = now + SECOND_PROBE_DELAY)
+        }
+    }
+
+    /** Whether a request with the shared [parts] may be retried after its replica was lost. */
+    public fun mayRetry(parts: List<String>): Boolean = synchronized(lock) {
+        val all = crashes.all()
+        parts.none { CrashAttribution.crashesOf(it, all, completed::lastCompletion) >= CRASHES_WITHOUT_RETRY }
+    }
+
+    /**
+     * Decides which parts are quarantined or released at [now]; called several times per second. [isRegistered] is
+     * whether a replica is still registered with the same run.
+     */
+    public fun update(now: MonotonicInstant, isRegistered: (ReplicaRun) -> Boolean): List<QuarantineChange> =
+        synchronized(lock) {
+            crashes.removeExpired(now)
+            crashes.confirmUnregistered(isRegistered)
+            val settled = crashes.all().filter { it.isConfirmed && now - it.at >= EVIDENCE_DELAY }
+            val unexplained = settled.filterNot { crash -> crash.suspects.keys.any { it in quarantined } }
+            val found = CrashAttribution.responsibleParts(unexplained, completed::lastCompletion)
+            val changes = found.map { (part, runs) ->
+                quarantined[part] = QuarantinedPart(part, now, probes = 0, now + FIRST_PROBE_DELAY, requestedAt = now)
+                QuarantineChange.Quarantined(part, runs)
+            }
+            changes + release(now)
+        }
+
+    /** What other hosts need to know at [now]. */
+    public fun report(now: MonotonicInstant): QuarantineReport = synchronized(lock) {
+        val all = crashes.all()
+        val crashesByPart = all.flatMap { it.suspects.keys }.groupingBy { it }.eachCount()
+        val recent = all.filter { now - it.at <= REPORTED_FOR }.takeLast(MAXIMUM_REPORTED_CRASHES)
+            .map { it.copy(suspects = reportedSuspects(it, crashesByPart)) }
+        val repeated = if (recent.isEmpty()) emptyList() else repeatedSuspects(crashesByPart)
+        val completions = (quarantined.keys + repeated)
+            .mapNotNull { part -> completed.lastCompletion(part)?.let { PartCompletion(part, it) } }
+        QuarantineReport(recent, completions.take(MAXIMUM_REPORTED_COMPLETIONS), quarantined.values.toList())
+    }
+
+    /** Applies the [report] of another host, whose times are converted to this host's clock. */
+    public fun merge(report: QuarantineReport, now: MonotonicInstant): List<QuarantineChange> = synchronized(lock) {
+        report.crashes.forEach(crashes::merge)
+        report.completions.forEach { completed.add(it.part, it.at) }
+        val changes = report.quarantined.mapNotNull(::adopt)
+        changes + release(now)
+    }
+
+    private fun adopt(entry: QuarantinedPart): QuarantineChange? {
+        val present = quarantined[entry.part]
+        if (present == null && (quarantined.size >= MAXIMUM_QUARANTINED || isReleased(entry))) return null
+        quarantined[entry.part] = when {
+            present == null -> entry
+            entry.probes > present.probes -> entry.copy(requestedAt = maxOf(entry.requestedAt, present.requestedAt))
+            else -> present.copy(requestedAt = maxOf(entry.requestedAt, present.requestedAt))
+        }
+        return if (present == null) QuarantineChange.Quarantined(entry.part, emptyList()) else null
+    }
+
+    private fun release(now: MonotonicInstant): List<QuarantineChange> {
+        val released = quarantined.values.filter { isReleased(it) || now - it.requestedAt > IDLE_LIMIT }
+        released.forEach { quarantined.remove(it.part) }
+        quarantinedParts = quarantined.keys.toSet()
+        return released.map { QuarantineChange.Released(it.part) }
+    }
+
+    private fun isReleased(entry: QuarantinedPart): Boolean =
+        completed.lastCompletion(entry.part)?.let { it > entry.since } ?: false
+
+    private fun isProbeDue(entry: QuarantinedPart, now: MonotonicInstant): Boolean =
+        entry.probes < MAXIMUM_PROBES && now >= entry.nextProbeAt
+
+    private fun retryAt(entry: QuarantinedPart, now: MonotonicInstant): MonotonicInstant =
+        if (entry.probes < MAXIMUM_PROBES) maxOf(entry.nextProbeAt, now + MINIMUM_RETRY_DELAY) else now + IDLE_LIMIT
+
+    /** The parts that appear in the most crashes come first, since the report is limited. */
+    private fun reportedSuspects(crash: ReplicaCrash, crashesByPart: Map<String, Int>): Map<String, Int> =
+        CrashAttribution.suspects(crash, completed::lastCompletion).entries
+            .sortedByDescending { crashesByPart[it.key] ?: 0 }
+            .take(MAXIMUM_REPORTED_SUSPECTS)
+            .associate { it.key to it.value }
+
+    private fun repeatedSuspects(crashesByPart: Map<String, Int>): List<String> = crashesByPart.entries.filter {
+        it.value >= CRASHES_WITHOUT_RETRY
+    }.sortedByDescending { it.value }.map { it.key }
+
+    private companion object {
+        /** Crashes of a part after which lost requests with it are not retried. */
+        const val CRASHES_WITHOUT_RETRY = 2
+
+        /** Time until the other hosts' knowledge of a crash has arrived: two heartbeats between regions. */
+        val EVIDENCE_DELAY = 1_200.milliseconds
+
+        /** Time for which a crash or completion is reported; several heartbeats, since datagrams get lost. */
+        val REPORTED_FOR = 5.seconds
+
+        /** Limits on the size of a report: about one kilobyte. */
+        const val MAXIMUM_REPORTED_CRASHES = 6
+        const val MAXIMUM_REPORTED_SUSPECTS = 12
+        const val MAXIMUM_REPORTED_COMPLETIONS = 24
+        const val MAXIMUM_QUARANTINED = 16
+
+        /** Each probe of a part that still does harm costs a replica, so there are few. */
+        const val MAXIMUM_PROBES = 2
+        val FIRST_PROBE_DELAY = 15.seconds
+        val SECOND_PROBE_DELAY = 60.seconds
+
+        /** Time without requests after which a part is forgotten. */
+        val IDLE_LIMIT = 10.minutes
+        val MINIMUM_RETRY_DELAY = 1.seconds
+    }
+}
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -4,6 +4,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.quarantine.ReplicaRun
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.seconds
 
@@ -48,6 +49,9 @@
     /** The state of the replica [id]; null if it is not registered. */
     public fun find(id: ReplicaId): ReplicaState? = states[id]
 
+    /** Whether [run] is registered: its replica is, and has not been started again. */
+    public fun isRegistered(run: ReplicaRun): Boolean = states[run.replica]?.current?.startedAt == run.startedAt
+
     /** The states of all registered replicas. */
     public fun all(): Collection<ReplicaState> = states.values
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/ResponseListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/ResponseListener.kt
@@ -8,8 +8,12 @@
  *
  * @property isStale whether the target had probably dropped the connection while it was idle. Then the failure says
  *   nothing about the health of the target, but the request may still have run.
+ * @property isConnectionLost whether the target or the network closed the connection.
  */
-internal class ConnectionFailure(val reason: String, val isStale: Boolean)
+internal class ConnectionFailure(val reason: String, val isStale: Boolean, val isConnectionLost: Boolean)
+
+/** Why no connection was established; [isRefused] is whether the target's machine refused it. */
+internal class ConnectFailure(val reason: String, val isRefused: Boolean)
 
 /** Receives the response to one request on a connection to a target; called on the connection's event loop. */
 internal interface ResponseListener {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
+import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -66,7 +67,9 @@
         discarded = DiscardedResponses()
         channel.write(request)
         channel.writeAndFlush(DefaultLastHttpContent(body)).addListener(
-            ChannelFutureListener { future -> if (!future.isSuccess) fail("write failed: ${future.cause()}") },
+            ChannelFutureListener { future ->
+                if (!future.isSuccess) fail("write failed: ${future.cause()}", isConnectionLost = true)
+            },
         )
     }
 
@@ -125,21 +128,23 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail("connection closed")
+        fail("connection closed", isConnectionLost = true)
         pool.remove(this)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(cause.toString())
+        fail(cause.toString(), isConnectionLost = cause is IOException)
     }
 
-    private fun fail(reason: String) {
+    private fun fail(reason: String, isConnectionLost: Boolean = false) {
         if (failureReason != null) return
         failureReason = reason
         val receiver = listener
         listener = null
         channel.close()
-        receiver?.onFailure(ConnectionFailure(reason, isStale = idleBefore?.let(pool::isStale) ?: false))
+        if (receiver == null) return
+        val isStale = idleBefore?.let(pool::isStale) ?: false
+        receiver.onFailure(ConnectionFailure(reason, isStale, isConnectionLost))
     }
 }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -19,6 +20,7 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.IdleLimit
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -34,7 +36,7 @@
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
 
     /** Calls [use] with an open connection, or [fail] with the reason if none can be opened. */
-    fun acquire(key: TargetKey, use: (TargetConnection) -> Unit, fail: (String) -> Unit) {
+    fun acquire(key: TargetKey, use: (TargetConnection) -> Unit, fail: (ConnectFailure) -> Unit) {
         val pooled = takeIdle(key)
         if (pooled != null) return use(pooled)
         open(key, use, fail)
@@ -89,7 +91,7 @@
         return idleFor < minOf(announced - IDLE_MARGIN, limit.at(now))
     }
 
-    private fun open(key: TargetKey, use: (TargetConnection) -> Unit, fail: (String) -> Unit) {
+    private fun open(key: TargetKey, use: (TargetConnection) -> Unit, fail: (ConnectFailure) -> Unit) {
         onOpened()
         var connection: TargetConnection? = null
         val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
@@ -107,11 +109,17 @@
         bootstrap.connect(InetSocketAddress(key.address.host, key.address.port)).addListener(
             ChannelFutureListener { future ->
                 val opened = connection
-                if (future.isSuccess && opened != null) use(opened) else fail("connect failed: ${future.cause()}")
+                if (future.isSuccess && opened != null) use(opened) else fail(connectFailure(future.cause()))
             },
         )
     }
 
+    private fun connectFailure(cause: Throwable?): ConnectFailure = ConnectFailure(
+        "connect failed: $cause",
+        isRefused =
+        cause is ConnectException && cause !is ConnectTimeoutException,
+    )
+
     private companion object {
         /** Callers allow one second for a connection; a target of the same region responds within milliseconds. */
         const val CONNECT_TIMEOUT_MILLISECONDS = 600
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -7,6 +7,7 @@
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Placement
+import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.forwarding.dialect.RequestDialect
@@ -28,12 +29,18 @@
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
+    val quarantine: PromptPartQuarantine get() = clusterState.quarantine
     val log: DecisionLog get() = observability.log
     val meters: ForwardingMeters get() = observability.meters
 }
 
-/** The host's view of manifest and replicas, and the recent prefills that it reports to other hosts. */
-internal class ClusterState(val routingState: RoutingState, val replicas: ReplicaRegistry, val reads: RecentPrefills)
+/** The host's view of manifest and replicas, the recent prefills that it reports, and the quarantined prompt parts. */
+internal class ClusterState(
+    val routingState: RoutingState,
+    val replicas: ReplicaRegistry,
+    val reads: RecentPrefills,
+    val quarantine: PromptPartQuarantine,
+)
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -41,7 +41,7 @@
         pool.acquire(
             TargetKey(host.peerAddress, host.incarnation.toString()),
             use = { newConnection -> send(newConnection, headers, request) },
-            fail = { reason -> notSent(reason) },
+            fail = { failure -> notSent(failure.reason) },
         )
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -21,6 +21,7 @@
 import org.buckthornwheel.decision.overload.RetryDelay
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
+import org.buckthornwheel.decision.quarantine.QuarantineAdmission
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestMetadata
@@ -56,10 +57,14 @@
     /** Whether an earlier attempt already sent the request to a target. */
     val isRetry: Boolean get() = history.count > 1
 
+    /** Whether prompt parts of the request are quarantined. */
+    val quarantine = QuarantineCheck(context, request.metadata)
+
     private val stream = CallerStream(sink)
     private val history = AttemptHistory(request.policy.maximumAttempts)
     private var attempt: Attempt? = null
     private var isDone = false
+    private var isRejectedForGood = false
     private var fallback: ResponseRelay? = null
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var placementTimer: ScheduledFuture<*>? = null
@@ -90,6 +95,7 @@
         if (isDone) return
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
+        quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
         when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
             is PlacementDecision.Local -> sendToReplica(decision, now)
@@ -110,7 +116,7 @@
         homeRegions = policy.homeRegions,
         excluded = history.excludedReplicas,
         closedZones = context.routingState.closedZones,
-        mayForward = policy.mayForward,
+        mayForward = policy.mayForward && !quarantine.isProbe,
         isUrgent = policy.priority == 0,
     )
 
@@ -202,7 +208,27 @@
         place()
     }
 
-    private fun mayRetry(): Boolean = policy.isRetryable && history.remaining > 0 && !isDone
+    private fun mayRetry(): Boolean =
+        policy.isRetryable && history.remaining > 0 && !isDone && quarantine.permitsRetry()
+
+    /** Ends the request if a prompt part was quarantined meanwhile, unless its response has begun already. */
+    fun recheckQuarantine() {
+        if (isDone || hasBegunStream) return
+        val now = context.clock.now()
+        val rejection = quarantine.rejection(now) ?: return
+        val running = attempt
+        rejectQuarantined(rejection, now)
+        running?.cancel()
+    }
+
+    private fun rejectQuarantined(rejection: QuarantineAdmission.Rejected, now: MonotonicInstant) {
+        context.meters.quarantined()
+        val reason = "quarantined prompt part ${rejection.part}"
+        if (hasBegunStream) return abort(reason)
+        if (history.mayHaveRun) return reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
+        isRejectedForGood = true
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, rejection.retryAt - now)
+    }
 
     /** Sends a complete response; if a stream has begun already, the stream is aborted instead. */
     fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
@@ -278,7 +304,9 @@
         sink.respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
-    private fun ownOutcome(): PeerOutcome = if (history.count == 0) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
+    /** A request that no region would serve counts as not run, so that it is not tried in another one. */
+    private fun ownOutcome(): PeerOutcome =
+        if (history.count == 0 && !isRejectedForGood) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
 
     private fun finish(status: Int, reason: String) {
         isDone = true
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -7,14 +7,17 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.placement.PlacementDecision
+import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.buckthornwheel.decision.replica.ReplicaAttemptResult
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.forwarding.connection.ConnectFailure
 import org.buckthornwheel.forwarding.connection.ConnectionFailure
 import org.buckthornwheel.forwarding.connection.ResponseListener
 import org.buckthornwheel.forwarding.connection.TargetConnection
@@ -40,7 +43,9 @@
             (proxiedRequest.metadata.expectedOutputTokens ?: proxiedRequest.metadata.outputTokens),
         prefillTokens = decision.missingTokens.toLong(),
     )
+    private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
     private var connection: TargetConnection? = null
+    private var isFramed = false
     private var relay: ResponseRelay? = null
     private var responseMetadata: ResponseMetadata? = null
     private var hasStartedResponding = false
@@ -62,7 +67,7 @@
         pool.acquire(
             TargetKey(replica.address, replica.id.value),
             use = { newConnection -> send(newConnection, headers, request) },
-            fail = { reason -> notSent(reason) },
+            fail = ::notSent,
         )
     }
 
@@ -89,6 +94,7 @@
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
         relay = ResponseRelay(proxiedRequest, head)
+        isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
 
@@ -114,7 +120,7 @@
         when {
             received.isWrongReplica -> notRun(response, counts = false)
             received.isCertainlyNotRun -> notRun(response, counts = true)
-            response.status.codeClass() == HttpStatusClass.SUCCESS -> complete(response, ReplicaAttemptResult.ANSWERED)
+            response.status.codeClass() == HttpStatusClass.SUCCESS -> succeeded(response)
             code in NOT_EXECUTED_STATUSES -> broken("status $code without a statement that the request was not run")
             code >= FIRST_SERVER_ERROR -> failed(response)
             else -> complete(response, ReplicaAttemptResult.ANSWERED)
@@ -123,6 +129,7 @@
 
     override fun onFailure(failure: ConnectionFailure) {
         if (isEnded) return
+        if (failure.isConnectionLost) proxiedRequest.quarantine.recordLoss(run, isCertain = true, context.clock.now())
         val result = if (failure.isStale) ReplicaAttemptResult.ABANDONED else ReplicaAttemptResult.BROKEN
         broken(failure.reason, result)
     }
@@ -135,6 +142,7 @@
         }
         connection = newConnection
         proxiedRequest.onSent()
+        proxiedRequest.quarantine.recordSent(context.clock.now())
         context.meters.sent(proxiedRequest.isRetry)
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, request.head.method(), request.head.uri(), headers)
         newConnection.send(head, request.body.retainedDuplicate(), this)
@@ -160,6 +168,17 @@
         state.recordProgress(work.prefillTokens, now - startedAt, decision.predicted, now)
     }
 
+    /** A response without framing ends with its connection, as it would in a crash of the replica. */
+    private fun succeeded(response: ResponseRelay) {
+        val now = context.clock.now()
+        if (isFramed) {
+            proxiedRequest.quarantine.recordCompletion(now)
+        } else {
+            proxiedRequest.quarantine.recordLoss(run, isCertain = false, now)
+        }
+        complete(response, ReplicaAttemptResult.ANSWERED)
+    }
+
     private fun complete(response: ResponseRelay, result: ReplicaAttemptResult) {
         end(result)
         response.complete()
@@ -192,10 +211,11 @@
         proxiedRequest.onFailed(decision.replica.id, null, reason, HttpResponseStatus.BAD_GATEWAY)
     }
 
-    private fun notSent(reason: String) {
+    private fun notSent(failure: ConnectFailure) {
+        if (failure.isRefused) context.quarantine.recordRefusal(run, context.clock.now())
         if (isEnded) return
         end(ReplicaAttemptResult.BROKEN)
-        log("not sent") { put("reason", reason) }
+        log("not sent") { put("reason", failure.reason) }
         proxiedRequest.onNotSent(decision.replica.id, null)
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -125,6 +125,11 @@
         caught.close()
     }
 
+    /** Ends the request in progress if its prompt parts are quarantined. */
+    fun recheckQuarantine() {
+        proxiedRequest?.recheckQuarantine()
+    }
+
     /** Closes the connection if it is idle; otherwise the response in progress announces that it will close. */
     fun drain() {
         if (!isBusy) context.close()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
@@ -20,6 +20,11 @@
         connections -= connection
     }
 
+    /** Ends the requests in progress whose prompt parts are quarantined. */
+    fun recheckQuarantine() {
+        connections.forEach { connection -> connection.eventLoop.execute(connection::recheckQuarantine) }
+    }
+
     /** Closes the idle connections. */
     fun closeIdle() {
         connections.forEach { connection -> connection.eventLoop.execute(connection::drain) }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -16,6 +16,7 @@
 import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Distances
 import org.buckthornwheel.decision.placement.Placement
+import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
@@ -41,6 +42,7 @@
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
+import org.buckthornwheel.forwarding.membership.QuarantineSharing
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
@@ -86,10 +88,11 @@
     private val meters = ForwardingMeters(log::dropped)
     private val shutdown = HostShutdown()
     private val reads = RecentPrefills()
+    private val quarantine = PromptPartQuarantine()
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
     private val context = ForwardingContext(
         dialect = dialect,
-        clusterState = ClusterState(routingState, replicas, reads),
+        clusterState = ClusterState(routingState, replicas, reads, quarantine),
         hosts = hosts,
         placement = Placement(
             Distances(
@@ -126,7 +129,7 @@
         replicas,
         reads,
         settings.seedAddresses,
-        LocalHostState({ isReady }, { estate }),
+        LocalHostState({ isReady }, { estate }, QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine)),
         log,
         clock,
     )
@@ -198,6 +201,11 @@
     private fun isColdRateLimited(replica: Replica): Boolean =
         (routingState.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
 
+    private fun recheckQuarantine() {
+        callerConnections.recheckQuarantine()
+        peerConnections.recheckQuarantine()
+    }
+
     private fun headerBytes(): Int = routingState.manifest?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES
 
     private fun callerLimits(): InboundLimits {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -29,8 +29,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** State of this host that its heartbeats report: whether it serves callers, and its estate revision. */
-internal class LocalHostState(val isReady: () -> Boolean, val estate: () -> EstateSync)
+/** What the heartbeats of this host report: whether it serves callers, its estate revision, and the quarantine. */
+internal class LocalHostState(
+    val isReady: () -> Boolean,
+    val estate: () -> EstateSync,
+    val quarantine: QuarantineSharing,
+)
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
 internal class HeartbeatService(
@@ -47,6 +51,7 @@
     private lateinit var channel: Channel
     private lateinit var recovery: EstateRecovery
     private var rounds = 0
+    private var quarantineMessage: QuarantineMessage? = null
 
     fun start(group: EventLoopGroup) {
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
@@ -68,6 +73,7 @@
     /** Sends a heartbeat to each host for which one is due. */
     private fun send() {
         val now = clock.now()
+        quarantineMessage = local.quarantine.update(now)
         val work = ownWork()
         val activity = Activity(work, ownReads(now))
         val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
@@ -102,8 +108,14 @@
         write(host.peerAddress, heartbeat(interval, activity))
     }
 
-    private fun heartbeat(interval: Duration, activity: Activity?): Heartbeat =
-        Heartbeat(description, local.isReady(), interval.inWholeMilliseconds, activity, local.estate().revision)
+    private fun heartbeat(interval: Duration, activity: Activity?): Heartbeat = Heartbeat(
+        description,
+        local.isReady(),
+        interval.inWholeMilliseconds,
+        activity,
+        local.estate().revision,
+        quarantineMessage,
+    )
 
     private fun write(address: NetworkAddress, heartbeat: Heartbeat) {
         val receiver = InetSocketAddress(address.host, address.port)
@@ -136,6 +148,7 @@
         }
         recovery.onHeartbeat(heartbeat.sender.host, heartbeat.revision, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
+        heartbeat.quarantine?.let { local.quarantine.receive(it, heartbeat.sender.name.value, now) }
     }
 
     private fun applyActivity(sender: HostName, activity: Activity, now: MonotonicInstant) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/DecisionLog.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/DecisionLog.kt
@@ -20,6 +20,7 @@
     MEMBERSHIP("membership"),
     STORE("store"),
     REQUEST("request"),
+    QUARANTINE("quarantine"),
     LIBRARY("library"),
 }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -32,6 +32,9 @@
     /** Counts a response of a replica that broke off or was unusable. */
     internal fun broken(): Unit = meters.broken.increment()
 
+    /** Counts a request that was rejected because of a quarantined prompt part. */
+    internal fun quarantined(): Unit = meters.quarantined.increment()
+
     /** Counts a request forwarded to another region. */
     internal fun forwarded(): Unit = meters.forwards.increment()
 
@@ -49,6 +52,7 @@
     val sends = counter("buckthornwheel.target.sends")
     val refusals = counter("buckthornwheel.target.refusals")
     val broken = counter("buckthornwheel.target.broken")
+    val quarantined = counter("buckthornwheel.quarantine.rejections")
     val repeats = counter("buckthornwheel.target.repeats")
     val forwards = counter("buckthornwheel.peer.forwards")
     private val responseTimers = HashMap<Int, Timer>()
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -12,11 +12,16 @@
 import org.buckthornwheel.forwarding.exchange.PeerEnvelope
 import org.buckthornwheel.forwarding.exchange.PeerOutcome
 import org.buckthornwheel.forwarding.membership.Activity
+import org.buckthornwheel.forwarding.membership.CompletionMessage
+import org.buckthornwheel.forwarding.membership.CrashMessage
 import org.buckthornwheel.forwarding.membership.Heartbeat
+import org.buckthornwheel.forwarding.membership.QuarantineMessage
+import org.buckthornwheel.forwarding.membership.QuarantinedPartMessage
 import org.buckthornwheel.forwarding.membership.ReadPart
 import org.buckthornwheel.forwarding.membership.ReplicaRead
 import org.buckthornwheel.forwarding.membership.ReplicaWork
 import org.buckthornwheel.forwarding.membership.SenderDescription
+import org.buckthornwheel.forwarding.membership.SuspectMessage
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.DynamicTest.dynamicTest
 import org.junit.jupiter.api.Test
@@ -48,6 +53,11 @@
     )
     private val brief = Heartbeat(sender, isReady = false, intervalMilliseconds = 1_000)
     private val full = Heartbeat(sender, isReady = true, intervalMilliseconds = 2_000, activity, revision = 123_456)
+    private val quarantine = QuarantineMessage(
+        listOf(CrashMessage("replica-1", 1_796_378_654_445, 250, true, listOf(SuspectMessage("part-1", 1)))),
+        listOf(CompletionMessage("part-2", 1_200)),
+        listOf(QuarantinedPartMessage("part-1", age = 900, probes = 1, probeIn = 14_100, idle = 30)),
+    )
     private val envelope = PeerEnvelope(
         routeName = "route-1",
         version = 7,
@@ -63,6 +73,7 @@
 
     private val specimens: List<Specimen<*>> =
         listOf(heartbeat("heartbeat-brief", brief), heartbeat("heartbeat-full", full)) +
+            heartbeat("heartbeat-quarantine", brief.copy(quarantine = quarantine)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/DecoderFuzzTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/DecoderFuzzTest.kt
@@ -16,6 +16,7 @@
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.manifest.RouteKind
+import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.forwarding.exchange.PeerEnvelope
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -50,8 +51,26 @@
             listOf(ReplicaWork("i-1", 3, 54_000, 17_000)),
             listOf(ReplicaRead("i-1", listOf(ReadPart("5c1e", 13_300)))),
         )
-        val valid = Heartbeat(SenderDescription.of(sender), isReady = true, 250, activity, revision = 7).encode()
-        expectThat(firstEscaping(valid) { Heartbeat.decode(it) }).isNull()
+        val quarantine = QuarantineMessage(
+            listOf(CrashMessage("i-1", 7, 250, true, listOf(SuspectMessage("5c1e", 1)))),
+            listOf(CompletionMessage("91bd", 1_200)),
+            listOf(QuarantinedPartMessage("5c1e", age = 900, probes = 1, probeIn = 14_100, idle = 30)),
+        )
+        val valid = Heartbeat(
+            SenderDescription.of(sender),
+            isReady = true,
+            250,
+            activity,
+            revision = 7,
+            quarantine,
+        ).encode()
+        val receiver = PromptPartQuarantine()
+        val escaped = firstEscaping(valid) { bytes ->
+            val now = MonotonicInstant(0)
+            Heartbeat.decode(bytes)?.quarantine?.let { receiver.merge(it.report(now), now) }
+            receiver.update(now) { false }
+        }
+        expectThat(escaped).isNull()
     }
 
     @Test
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DeadlyPromptPartTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DeadlyPromptPartTest.kt
@@ -59,7 +59,7 @@
         callers.scheduleAtFixedRate({ callers.execute { send() } }, 0, milliseconds, TimeUnit.MILLISECONDS)
     }
 
-    /** Guards against a chain of crashes: requests with the part were sent, and retried, to one replica after another. */
+    /** Guards against a chain of crashes: requests with the part were sent to one replica after another. */
     @Test
     fun `a prompt part that crashes replicas reaches at most three more after five crashes and the contact time`() {
         each(SOUND_INTERVAL_MILLISECONDS, ::sendSound)
