A stream that ends inside an event has broken off, whatever its framing says

What callers saw: a stream that the replica ended inside an event, with neither a length nor chunks (or with a last chunk), was relayed with the half event and ended as a complete 200.

Cause: the end of the body was taken as the end of the stream; the bytes after the last complete event were sent along. Ruled out: the connection's failure path, which handles resets and missing chunks; here the connection ends in order.

Change: such an end counts as a broken response. The half event is dropped; a resumable stream is continued after the last complete event, another one is cut off so that the caller sees it. The same between hosts.

Evidence: three new cases of StreamRelayTest red before, green now; 'complete when closed after an event' was green before.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
@@ -20,6 +20,9 @@
     /** Whether the incomplete event is longer than any event of a sound stream. */
     val isEventTooLong: Boolean get() = pending.readableBytes() > MAXIMUM_EVENT_BYTES
 
+    /** Whether the last event is incomplete. */
+    val isInsideEvent: Boolean get() = pending.isReadable
+
     /** Adds and releases [content]; returns the events that it completes. */
     fun add(content: ByteBuf): List<StreamEvent> {
         pending.writeBytes(content)
@@ -35,11 +38,9 @@
         return events
     }
 
-    /** Removes and returns the bytes after the last complete event. */
-    fun takeRemainder(): ByteBuf {
-        val remainder = Unpooled.copiedBuffer(pending)
+    /** Removes the bytes after the last complete event. */
+    fun discardRemainder() {
         pending.clear()
-        return remainder
     }
 
     /** Index after the blank line that ends the first event; negative if the event is not complete. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -83,6 +83,7 @@
         isEnded = true
         connection = null
         val response = relay ?: return
+        if (response.isInsideEvent) return broken("stream ended inside an event")
         val rejection = outcome ?: return response.complete()
         response.discard()
         proxiedRequest.onPeerRejected(host, rejection, retryAfterSeconds?.seconds)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -116,6 +116,7 @@
         connection = null
         val response = relay ?: return
         val received = responseMetadata ?: return
+        if (response.isInsideEvent) return endedInsideEvent()
         val code = response.status.code()
         when {
             received.isWrongReplica -> notRun(response, counts = false)
@@ -168,6 +169,11 @@
         state.recordProgress(work.prefillTokens, now - startedAt, decision.predicted, now)
     }
 
+    private fun endedInsideEvent() {
+        proxiedRequest.quarantine.recordLoss(run, isCertain = !isFramed, context.clock.now())
+        broken("stream ended inside an event")
+    }
+
     /** A response without framing ends with its connection, as it would in a crash of the replica. */
     private fun succeeded(response: ResponseRelay) {
         val now = context.clock.now()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -57,6 +57,9 @@
         return RelayResult.USABLE
     }
 
+    /** Whether the response is a stream whose last event is incomplete; it has broken off, whatever its framing says. */
+    val isInsideEvent: Boolean get() = isStream && eventParser.isInsideEvent
+
     /** Called when the response is complete. */
     fun complete() {
         if (isStream) return completeStream()
@@ -71,7 +74,7 @@
     fun discard() {
         buffered?.release()
         buffered = null
-        eventParser.takeRemainder().release()
+        eventParser.discardRemainder()
     }
 
     private fun addEvents(content: ByteBuf): RelayResult {
@@ -89,7 +92,6 @@
 
     private fun completeStream() {
         begin()
-        proxiedRequest.streamBytes(eventParser.takeRemainder())
         proxiedRequest.endStream(status.code())
     }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/StreamRelayTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/StreamRelayTest.kt
@@ -96,6 +96,64 @@
         }
     }
 
+    @Nested
+    inner class `given a stream with neither a length nor chunks` {
+        private fun unframedHead(request: RecordedRequest): String =
+            "HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nSignature: s\r\n\r\n"
+
+        @Test
+        fun `it is complete when the connection is closed after an event`() {
+            setup.replica { request ->
+                send(unframedHead(request) + event(1) + event(2))
+                close()
+            }
+            expectThat(setup.sendRequest("/once/x")).isNotNull().and {
+                get { body }.isEqualTo(event(1) + event(2))
+                get { isComplete }.isTrue()
+            }
+        }
+
+        /** Guards against a stream that broke off inside an event and was relayed as complete. */
+        @Test
+        fun `it is truncated when the connection is closed inside an event`() {
+            setup.replica { request ->
+                send(unframedHead(request) + event(1) + "id: 2\ndata: hal")
+                close()
+            }
+            expectThat(setup.sendRequest("/once/x")).isNotNull().and {
+                get { body }.isEqualTo(event(1))
+                get { isComplete }.isFalse()
+            }
+        }
+
+        @Test
+        fun `another replica continues it after the last complete event`() {
+            fun ReplicaConnection.serve(request: RecordedRequest) {
+                val after = request.header("Last-Event-Id")?.toInt() ?: 0
+                if (after == 0) send(unframedHead(request) + event(1) + "id: 2\ndata: hal")
+                if (after == 1) send(unframedHead(request) + event(2))
+                close()
+            }
+            setup.replica("r1") { serve(it) }
+            setup.replica("r2") { serve(it) }
+            expectThat(setup.sendRequest("/stream/x")).isNotNull().and {
+                get { body }.isEqualTo(event(1) + event(2))
+                get { isComplete }.isTrue()
+            }
+        }
+    }
+
+    @Test
+    fun `a chunked stream whose last event is incomplete is truncated`() {
+        setup.replica { request ->
+            send(chunkedHead(request) + chunk(event(1)) + chunk("id: 2\ndata: hal") + "0\r\n\r\n")
+        }
+        expectThat(setup.sendRequest("/once/x")).isNotNull().and {
+            get { body }.isEqualTo(event(1))
+            get { isComplete }.isFalse()
+        }
+    }
+
     @Nested
     inner class `given a caller that disconnects` {
         @Test
