The connection of an HTTP/1.0 caller is reset when its stream breaks off

What callers saw: a caller without chunked encoding got an orderly close after half of a stream, which for it means complete.

Cause: abort() closed the connection in order; only the missing last chunk told other callers. Change: the connection of an HTTP/1.0 caller is reset (linger of zero).

Evidence: the new case of StreamRelayTest red before, green now.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -160,6 +161,8 @@
     override fun abort() {
         isClosing = true
         proxiedRequest = null
+        // Without chunks, an orderly close would mark the response as complete.
+        if (isHttp10) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
         context.close()
     }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/StreamRelayTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/StreamRelayTest.kt
@@ -154,6 +154,21 @@
         }
     }
 
+    /** Guards against a truncated stream that a caller without chunked encoding takes for complete. */
+    @Test
+    fun `the connection of an HTTP 1_0 caller is reset when its stream breaks off`() {
+        setup.replica { request ->
+            send(chunkedHead(request) + chunk(event(1)))
+            Thread.sleep(50)
+            reset()
+        }
+        setup.host.caller().use { caller ->
+            caller.send("POST /once/x HTTP/1.0\r\nHost: gateway.example\r\nId: q1\r\nContent-Length: 0\r\n\r\n")
+            caller.readHead()
+            expectThat(caller.isReset()).isTrue()
+        }
+    }
+
     @Nested
     inner class `given a caller that disconnects` {
         @Test
