A planned stop closes no connection on which a request may be arriving

What callers saw: during a planned stop, once the directory's answers had expired, connections that had just been accepted, and kept ones between two requests, were closed within 50 ms as idle; the request on its way got no answer.

Cause: a connection counted as idle from its first moment; the listeners were closed, and the process ended, while connections were still being accepted. Ruled out: the admission of late requests (ShutdownAdmission), which answers with 503.

Change: a connection is closed as idle after one second without a request (the time that callers allow for a new connection); in the last 400 ms of the grace period the listeners are closed first, and what was accepted is answered.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -69,6 +69,7 @@
     private var isClosing = false
     private var timer: ScheduledFuture<*>? = null
     private var isReadingHead = false
+    private var idleSince = MonotonicClock.SYSTEM.now()
 
     val eventLoop get() = context.channel().eventLoop()
 
@@ -131,9 +132,9 @@
         proxiedRequest?.recheckQuarantine()
     }
 
-    /** Closes the connection if it is idle; otherwise the response in progress announces that it will close. */
-    fun drain() {
-        if (!isBusy) context.close()
+    /** Closes the connection if it has been idle for [minimumIdle]; otherwise, its next response announces that. */
+    fun drain(minimumIdle: Duration) {
+        if (!isBusy && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
     }
 
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
@@ -173,6 +174,7 @@
 
     private fun end(written: io.netty.channel.ChannelFuture) {
         proxiedRequest = null
+        idleSince = MonotonicClock.SYSTEM.now()
         if (!keepsAlive) {
             isClosing = true
             written.addListener(ChannelFutureListener { halfClose() })
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 
 /** The open connections of a listener. During [shutdown], each is closed after its next response. */
 internal class InboundConnections(private val shutdown: HostShutdown) {
@@ -25,8 +26,8 @@
         connections.forEach { connection -> connection.eventLoop.execute(connection::recheckQuarantine) }
     }
 
-    /** Closes the idle connections. */
-    fun closeIdle() {
-        connections.forEach { connection -> connection.eventLoop.execute(connection::drain) }
+    /** Closes the connections that have been idle for at least [minimumIdle]; a request may be arriving on others. */
+    fun closeIdle(minimumIdle: Duration) {
+        connections.forEach { connection -> connection.eventLoop.execute { connection.drain(minimumIdle) } }
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
@@ -48,6 +49,7 @@
 import org.buckthornwheel.forwarding.observability.LogPart
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -174,17 +176,31 @@
         shutdown.begin(ShutdownAdmission(directoryExpiresAt, stopsAt = begin + settings.shutdownGrace))
         log.write(LogPart.HOST, "stopping") { put("connections", callerConnections.size) }
         loops.next().execute(heartbeats::sendToAll)
-        while (clock.now() - begin < settings.shutdownGrace) {
-            Thread.sleep(STOP_POLL_INTERVAL.inWholeMilliseconds)
-            if (clock.now() < directoryExpiresAt) continue
-            callerConnections.closeIdle()
-            peerConnections.closeIdle()
-            if (callerConnections.size == 0 && peerConnections.size == 0) break
+        val lastAccept = begin + (settings.shutdownGrace - LAST_REQUESTS_TIME)
+        pollUntil(lastAccept) {
+            if (clock.now() >= directoryExpiresAt) closeIdleConnections(minimumIdle = REQUEST_ARRIVAL_TIME)
+            clock.now() >= directoryExpiresAt && hasNoConnections()
+        }
+        listeners.forEach { it.close().syncUninterruptibly() }
+        pollUntil(begin + settings.shutdownGrace) {
+            closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
+            hasNoConnections()
         }
         log.write(LogPart.HOST, "stopped") { put("connections", callerConnections.size) }
-        listeners.forEach { it.close() }
     }
 
+    /** Waits until [isDone], but at most until [end]. */
+    private fun pollUntil(end: MonotonicInstant, isDone: () -> Boolean) {
+        while (clock.now() < end && !isDone()) Thread.sleep(STOP_POLL_INTERVAL.inWholeMilliseconds)
+    }
+
+    private fun closeIdleConnections(minimumIdle: Duration) {
+        callerConnections.closeIdle(minimumIdle)
+        peerConnections.closeIdle(minimumIdle)
+    }
+
+    private fun hasNoConnections(): Boolean = callerConnections.size == 0 && peerConnections.size == 0
+
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
@@ -243,6 +259,15 @@
 
         val STOP_POLL_INTERVAL = 50.milliseconds
 
+        /** Time that callers allow for a new connection; a request may arrive on it until then. */
+        val REQUEST_ARRIVAL_TIME = 1.seconds
+
+        /** End of the grace period, in which no connections are accepted and the last requests are completed. */
+        val LAST_REQUESTS_TIME = 400.milliseconds
+
+        /** Same as [REQUEST_ARRIVAL_TIME] in the last part of the grace period; a round trip between regions. */
+        val LAST_REQUEST_ARRIVAL_TIME = 150.milliseconds
+
         /** Time for requests that are still in transit when the directory responses have expired. */
         val DRAIN_SLACK = 500.milliseconds
     }
