Quarantined prompt parts are recorded in the store, for hosts that all start anew

Cause: the quarantine was kept in the memory of the hosts alone. Change: the host that decides writes the part to the store, under a lease of ten minutes, and removes it when a completed request releases it; hosts learn it with the manifest, or from peers, when they start.

Also: a connection counts as idle in a planned stop after half a second instead of one.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/PromptPartQuarantine.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/PromptPartQuarantine.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.decision.quarantine
 
 import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
@@ -24,8 +25,8 @@
     @Volatile
     private var quarantinedParts: Set<String> = emptySet()
 
-    /** Number of quarantined parts. */
-    public val size: Int get() = quarantinedParts.size
+    /** The quarantined parts. */
+    public val parts: Set<String> get() = quarantinedParts
 
     /**
      * Records that the connection of a request with the shared [parts] to [run] was lost. [isCertain] is false if the
@@ -109,6 +110,13 @@
         changes + release(now)
     }
 
+    /** Adds a [part] that was quarantined [age] before [now], if this host does not know of it. */
+    public fun addRecorded(part: String, age: Duration, now: MonotonicInstant): List<QuarantineChange> =
+        synchronized(lock) {
+            val entry = QuarantinedPart(part, now + -age, probes = 1, now + SECOND_PROBE_DELAY, requestedAt = now)
+            listOfNotNull(adopt(entry)) + release(now)
+        }
+
     private fun adopt(entry: QuarantinedPart): QuarantineChange? {
         val present = quarantined[entry.part]
         if (present == null && (quarantined.size >= MAXIMUM_QUARANTINED || isReleased(entry))) return null
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -57,7 +57,7 @@
         return RelayResult.USABLE
     }
 
-    /** Whether the response is a stream whose last event is incomplete; it has broken off, whatever its framing says. */
+    /** Whether the response is a stream inside an event. At its end, it has broken off, whatever its framing says. */
     val isInsideEvent: Boolean get() = isStream && eventParser.isInsideEvent
 
     /** Called when the response is complete. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -18,6 +18,7 @@
 import org.buckthornwheel.decision.placement.Distances
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
+import org.buckthornwheel.decision.quarantine.QuarantineChange
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
@@ -83,6 +84,10 @@
     @Volatile
     public var estate: EstateSync = EstateSync.NONE
 
+    /** Called when this host itself quarantines or releases a prompt part; set by the adapter before the start. */
+    @Volatile
+    public var onQuarantineDecision: (QuarantineChange) -> Unit = {}
+
     /** The event loops, which the adapter's HTTP clients use too. */
     public val loops: MultiThreadIoEventLoopGroup =
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
@@ -125,13 +130,15 @@
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerConnections = InboundConnections(shutdown)
     private val peerConnections = InboundConnections(shutdown)
+    private val quarantineSharing =
+        QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine) { onQuarantineDecision(it) }
     private val heartbeats = HeartbeatService(
         settings.self,
         hosts,
         replicas,
         reads,
         settings.seedAddresses,
-        LocalHostState({ isReady }, { estate }, QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine)),
+        LocalHostState({ isReady }, { estate }, quarantineSharing),
         log,
         clock,
     )
@@ -143,6 +150,9 @@
     /** Whether the host gets estate changes from primary hosts of its region instead of the store. */
     public val followsPrimaries: Boolean get() = hosts.followsPrimaries(clock.now())
 
+    /** The prompt parts whose requests are rejected. */
+    public val quarantinedParts: Set<String> get() = quarantine.parts
+
     /** Opens all listeners. */
     public fun start() {
         val factory = Listeners(loops)
@@ -201,6 +211,10 @@
 
     private fun hasNoConnections(): Boolean = callerConnections.size == 0 && peerConnections.size == 0
 
+    /** Adds a prompt [part] that a host quarantined [age] ago, according to the adapter's records. */
+    public fun quarantineRecorded(part: String, age: Duration): Unit =
+        quarantineSharing.addRecorded(part, age, clock.now())
+
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
@@ -259,8 +273,8 @@
 
         val STOP_POLL_INTERVAL = 50.milliseconds
 
-        /** Time that callers allow for a new connection; a request may arrive on it until then. */
-        val REQUEST_ARRIVAL_TIME = 1.seconds
+        /** Time within which a request follows the connection or the last response; several round trips. */
+        val REQUEST_ARRIVAL_TIME = 500.milliseconds
 
         /** End of the grace period, in which no connections are accepted and the last requests are completed. */
         val LAST_REQUESTS_TIME = 400.milliseconds
