--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
@@ -1,5 +1,10 @@
 package org.buckthornwheel.forwarding.membership
 
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
+import kotlinx.serialization.decodeFromByteArray
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.Incarnation
 import org.buckthornwheel.api.NetworkAddress
@@ -34,6 +39,34 @@
         expectThat(Heartbeat.decode(heartbeat.encode())).isEqualTo(heartbeat)
     }
 
+    /** Guards against hosts of the previous build taking those of this one for dead. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Test
+    fun `a host of the build without quarantine reads a heartbeat that has one`() {
+        val quarantine = QuarantineMessage(
+            listOf(CrashMessage("i-1", 7, 250, true, listOf(SuspectMessage("5c1e", 1)))),
+            listOf(CompletionMessage("91bd", 1_200)),
+            listOf(QuarantinedPartMessage("5c1e", age = 900, probes = 1, probeIn = 14_100, idle = 30)),
+        )
+        val codec = Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
+        val read = codec.decodeFromByteArray<PreviousHeartbeat>(brief.copy(quarantine = quarantine).encode())
+        expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
+    }
+
+    /** A heartbeat as the previous build defines it. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Serializable
+    internal data class PreviousHeartbeat(
+        @CborLabel(1) val sender: SenderDescription,
+        @CborLabel(2) val isReady: Boolean,
+        @CborLabel(3) val intervalMilliseconds: Long,
+        @CborLabel(4) val activity: Activity? = null,
+        @CborLabel(5) val revision: Long = 0,
+    )
+
     /** The traffic budget of a standby host is based on this size. */
     @Test
     fun `a heartbeat without activity has at most 150 bytes`() {
