--- a/review/lab/EndlessEvent.java
+++ b/review/lab/EndlessEvent.java
@@ -72,7 +72,7 @@
             "Buckthornwheel-Prompt-Prefix", "5c1e07a2:55,91bd" + id.substring(14) + "00:37," + id + ":199"));
         try {
             Client.Answer answer = Client.send(host.front(), "POST", "/ask/2f", headers, "prompt".getBytes(), 6000);
-            if (answer.status != 200 || !answer.isWhole) lab.record.line("ask " + id + ": " + answer);
+            lab.record.line("ask " + id + ": " + answer);
             return answer.status == 200 && answer.isWhole;
         } catch (Exception failure) {
             return false;
@@ -81,6 +81,7 @@
 
     private static void stream(Replica.Request request) throws Exception {
         request.replica().runs.incrementAndGet();
+        request.replica().lab.record.line("run by " + request.replica().id + ": " + request.id());
         Thread.sleep(30);
         request.beginStream();
         if (request.replica().id.equals(troubled) && IN_TROUBLE.incrementAndGet() % SPOILT_EACH == 0) {
--- a/review/lab/LongPrompts.java
+++ b/review/lab/LongPrompts.java
@@ -53,6 +53,7 @@
     }
 
     private static void draft(Replica.Request request) throws Exception {
+        request.replica().lab.record.line("run by " + request.replica().id + ": " + request.id() + " with " + request.body.length + " bytes");
         Thread.sleep(DRAFT_MS / 2);
         request.beginStream();
         for (int number = 1; number <= 10; number++) {
--- a/review/lab/SmallRequests.java
+++ b/review/lab/SmallRequests.java
@@ -102,10 +102,8 @@
         synchronized (this) {
             unansweredFor.add(after);
         }
-        if (after > 1000 || answer.status != 200) {
-            lab.record.line("condemn " + id + ": " + answer + " after " + after + " ms, run by a replica: " + run.contains(id));
-            if (answer.status == 0 && run.contains(id)) runAndUnanswered.incrementAndGet();
-        }
+        lab.record.line("condemn " + id + ": " + answer + " after " + after + " ms, run by a replica: " + run.contains(id));
+        if (answer.status == 0 && run.contains(id)) runAndUnanswered.incrementAndGet();
         return answer.status != 0 && !"close".equalsIgnoreCase(answer.headers.get("connection"));
     }
 }
