--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -223,11 +223,11 @@
                 boolean broken = body.isBroken(lab);
                 lab.record.line(broken ? "RESULT: the rule was broken" : "RESULT: the rule held");
                 code = broken ? 1 : 0;
-            } catch (Exception failure) {
+            } catch (Throwable failure) {
                 lab.record.line("RESULT: the case could not run: " + failure);
                 failure.printStackTrace();
             }
-        } catch (Exception failure) {
+        } catch (Throwable failure) {
             failure.printStackTrace();
         }
         System.exit(code);
