--- a/review/lab/EndlessEvent.java
+++ b/review/lab/EndlessEvent.java
@@ -8,7 +8,7 @@
 final class EndlessEvent {
     private static final int REPLICAS = 6;
     private static final int STREAMS_PER_S = 20;
-    /** Each so many streams of the replica in trouble are spoilt, which is a share of 0.05. */
+    /** One in so many streams of the replica in trouble is spoilt, the first one included: a share of 0.05. */
     private static final int SPOILT_EACH = 20;
     private static final int CHUNK_BYTES = 1;
     private static final long TROUBLE_MS = 5_000;
@@ -84,7 +84,7 @@
         request.replica().lab.record.line("run by " + request.replica().id + ": " + request.id());
         Thread.sleep(30);
         request.beginStream();
-        if (request.replica().id.equals(troubled) && IN_TROUBLE.incrementAndGet() % SPOILT_EACH == 0) {
+        if (request.replica().id.equals(troubled) && IN_TROUBLE.getAndIncrement() % SPOILT_EACH == 0) {
             request.replica().lab.record.line("stream without end " + SPOILT_COUNT.incrementAndGet() + ": " + request.id());
             String block = (Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n").repeat(2000);
             while (true) request.write(block);
