A forwarded request with the path /estate is run by a replica, not answered by the other host

Cause: the call by which hosts fetch estate changes and forwarded requests share the peer listener, and EstateRequestStarter told them apart by the path, which is the caller's in a forwarded request. Ruled out: a replica that answers so (none got the request), and a call of the forwarding host on the caller's connection (the caller's method and id arrive). Hosts logged nothing when they served changes, so the logs could not show it; the line "changes sent to a peer" is new.

Change: a request with an envelope is a forwarded one, whatever its path. Only hosts set the header: callers are not connected to this listener, and the header is removed from what they send before the envelope is written. The call itself is unchanged, so hosts of both builds understand each other.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -81,6 +81,9 @@
             headers.set(HEADER, Base64.getUrlEncoder().encodeToString(Cbor.encodeToByteArray(envelope)))
         }
 
+        /** Whether a request with [headers] was forwarded; only hosts set the header. */
+        fun isIn(headers: HttpHeaders): Boolean = headers.contains(HEADER)
+
         /** Removes the envelope from [headers] and returns it; null if it is missing or cannot be decoded. */
         fun extract(headers: HttpHeaders): PeerEnvelope? {
             val text = headers.get(HEADER) ?: return null
@@ -94,7 +97,7 @@
             }
         }
 
-        /** Removes the headers that only hosts may set, since a caller may have forged them. */
+        /** Removes the headers that only hosts may set, since a caller or a replica may have sent them. */
         fun remove(headers: HttpHeaders) {
             headers.remove(HEADER)
             headers.remove(OUTCOME_HEADER)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -223,9 +223,8 @@
     private fun callerStarter(loop: EventLoop, startup: StartupAdmission): RequestStarter =
         CallerRequestStarter(context, pool(loop), startup)
 
-    private fun peerStarter(loop: EventLoop): RequestStarter = EstateRequestStarter({
-        estate
-    }, PeerRequestStarter(context, pool(loop)))
+    private fun peerStarter(loop: EventLoop): RequestStarter =
+        EstateRequestStarter({ estate }, PeerRequestStarter(context, pool(loop)), log)
 
     /** Whether the service of [replica] limits the request rate of cold replicas. */
     private fun isColdRateLimited(replica: Replica): Boolean =
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -8,6 +8,7 @@
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.TestManifest
 import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.junit.jupiter.api.AfterEach
@@ -90,6 +91,23 @@
         }
     }
 
+    /** Guards against a host that answers a caller's request itself because of the request's path. */
+    @Test
+    fun `a forwarded request with the path of the call between hosts is run by a replica`() {
+        listOf(north, south).forEach { host ->
+            host.process.estate = RecordingEstateSync(revision = 8)
+            host.process.routingState.updateManifest(TestManifest.of(version = 2, catchAll = true))
+        }
+        val replica = addSouthern(echoingReplica())
+        for (path in listOf("/estate", "/estate?after=0", "/%65state")) {
+            north.caller().use { caller ->
+                caller.request("POST", path, "q1", "question")
+                expectThat(caller.readResponse()).isNotNull().get { body }.isEqualTo("answer to question")
+            }
+            expectThat(replica.requests.last().line).isEqualTo("POST $path HTTP/1.1")
+        }
+    }
+
     @Test
     fun `work in the other region is cancelled when the caller disconnects`() {
         val isCancelled = AtomicBoolean()
