A success of another host is relayed only with a replica's signature

The host that forwards relayed 200 of the other host although no replica had signed it.

Cause: PeerAttempt relayed every response without an outcome header; ReplicaAttempt asks a success for its signature, and nothing asked on this path. Any other answer at a host's address would have passed as well. Ruled out: a check by the request id alone; the other host echoes the id in its own answers.

Change: both attempts share the check; an unsigned success counts as a broken response, so that a request which may be repeated is retried, and others get 502.

Evidence: the new case of PeerForwardingTest was red on (200 with the impostor's body) and is green.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -63,6 +63,8 @@
 
     override fun onHead(head: HttpResponse) {
         if (isEnded) return
+        val received = context.dialect.readResponse(head.status().code(), head.headers())
+        if (received.isUnsignedSuccess(head)) return broken("successful response without signature")
         outcome = PeerEnvelope.outcome(head.headers())
         retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()?.takeIf { it.isFinite() }
         PeerEnvelope.remove(head.headers())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -152,9 +152,7 @@
     /** Why a response with this [head] cannot be the response to the request; null if it may be. */
     private fun unusableReason(received: ResponseMetadata, head: HttpResponse): String? = when {
         received.requestId == null && connection?.isReused == true -> "response without request id on a used connection"
-        head.status().codeClass() == HttpStatusClass.SUCCESS && !received.isSigned ->
-            "successful response without signature"
-
+        received.isUnsignedSuccess(head) -> "successful response without signature"
         else -> null
     }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -4,7 +4,12 @@
 
 package org.buckthornwheel.forwarding.transport
 
+import org.buckthornwheel.api.HostName
+import org.buckthornwheel.api.Incarnation
 import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
@@ -18,6 +23,7 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.time.Duration.Companion.seconds
 
 internal class PeerForwardingTest {
     private val north = RunningHost("north-1", "north")
@@ -108,6 +114,31 @@
         }
     }
 
+    /** Guards against a success that no replica gave, from whatever listens at the address of a host. */
+    @Test
+    fun `a successful response of another host without a replica's signature is not relayed`() {
+        val impostor = ScriptedReplica { request ->
+            send("HTTP/1.1 200 OK\r\nId: ${request.header("Id")}\r\nContent-Length: 2\r\n\r\nno")
+        }
+        replicas += impostor
+        north.add("e1", impostor, region = "east")
+        val host = EntryHostProfile(
+            HostName("east-1"),
+            Incarnation(1),
+            ZoneName("east-a"),
+            RegionName("east"),
+            callerAddress = impostor.address,
+            peerAddress = impostor.address,
+            cores = 1.0,
+        )
+        north.process.hosts.recordHeartbeat(host, isReady = true, 10.seconds, MonotonicClock.SYSTEM.now())
+        north.caller().use { caller ->
+            caller.request("POST", "/act/x", "q1", "question")
+            expectThat(caller.readResponse()).isNotNull().get { status }.isEqualTo(502)
+        }
+        expectThat(impostor.requests.size).isEqualTo(1)
+    }
+
     @Test
     fun `work in the other region is cancelled when the caller disconnects`() {
         val isCancelled = AtomicBoolean()
