A replica's header cannot declare to another host that a request was not run

A replica that sends Gateway-Outcome: not-sent makes the forwarding host take the request for not run: it runs once more elsewhere, also if it is non-idempotent (TWICE), and the first answer is dropped.

Ruled out: the way of the request; the headers are removed from what callers send.

Change: the headers between hosts are removed from each response of a replica, before it is relayed or kept.

Evidence: the new case of PeerForwardingTest was red on (the answer of a second replica) and is green.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -91,6 +91,7 @@
         if (isEnded) return
         val received = context.dialect.readResponse(head.status().code(), head.headers())
         responseMetadata = received
+        PeerEnvelope.remove(head.headers())
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
         relay = ResponseRelay(proxiedRequest, head)
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -15,6 +15,7 @@
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
 import org.buckthornwheel.forwarding.fixture.TestManifest
 import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.signedResponse
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -139,6 +140,26 @@
         expectThat(impostor.requests.size).isEqualTo(1)
     }
 
+    /** Guards against a second run of a request whose replica sends a header of the calls between hosts. */
+    @Test
+    fun `a replica cannot state on behalf of its host that a request was not run`() {
+        val local = echoingReplica().also { replicas += it }
+        addSouthern(
+            ScriptedReplica { request ->
+                north.add("n1", local, region = "north")
+                send(signedResponse(request, "answer", headers = "Gateway-Outcome: not-sent\r\n"))
+            },
+        )
+        north.caller().use { caller ->
+            caller.request("POST", "/act/x", "q1", "question")
+            expectThat(caller.readResponse()).isNotNull().and {
+                get { body }.isEqualTo("answer")
+                get { header("Gateway-Outcome") }.isNull()
+            }
+        }
+        expectThat(local.requests.size).isEqualTo(0)
+    }
+
     @Test
     fun `work in the other region is cancelled when the caller disconnects`() {
         val isCancelled = AtomicBoolean()
