An incomplete event is scanned once, not again for each of its chunks

Cause: EventStreamParser looked for the end of the incomplete event from its first byte on each call, and is called for each chunk. Up to the limit of 65,536 bytes this scans some two thousand million bytes, on the only event loop. Ruled out: the number of chunks itself and memory; with as many chunks the case holds after the change.

Change: the parser goes on where it stopped. Line ends between events are no events of their own any more: without end they were relayed one by one and never reached the limit. They are kept with the next event, or sent at the end.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/EventStreamParser.kt
@@ -2,7 +2,8 @@
  * Splits an event stream (`text/event-stream`) into complete events.
  *
  * Only complete events are relayed, so that another target can continue a stream that broke off in the middle of an
- * event without a truncated or duplicate event.
+ * event without a truncated or duplicate event. Each byte is scanned once, however small the pieces are in which the
+ * bytes arrive.
  */
 
 package org.buckthornwheel.forwarding.exchange
@@ -15,50 +16,63 @@
 
 /** Parses the bytes of one stream. Not thread-safe. */
 internal class EventStreamParser {
-    private var pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
+    private val pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
 
-    /** Whether the incomplete event is longer than any event of a sound stream. */
-    val isEventTooLong: Boolean get() = pending.readableBytes() > MAXIMUM_EVENT_BYTES
+    /** Index in [pending] of the first byte that was not scanned. */
+    private var scanIndex = 0
+    private var isLineEmpty = true
+
+    /** Whether the last event is incomplete. Line ends alone are no event. */
+    var isInsideEvent: Boolean = false
+        private set
 
-    /** Whether the last event is incomplete. */
-    val isInsideEvent: Boolean get() = pending.isReadable
+    /** Whether the incomplete event, or the line ends before it, are longer than in any sound stream. */
+    val isEventTooLong: Boolean get() = pending.readableBytes() > MAXIMUM_EVENT_BYTES
 
     /** Adds and releases [content]; returns the events that it completes. */
     fun add(content: ByteBuf): List<StreamEvent> {
         pending.writeBytes(content)
         content.release()
         val events = ArrayList<StreamEvent>()
-        while (true) {
-            val end = eventEnd()
-            if (end < 0) break
-            val bytes = Unpooled.copiedBuffer(pending.readSlice(end - pending.readerIndex()))
+        while (scanToEventEnd()) {
+            val bytes = Unpooled.copiedBuffer(pending.readSlice(scanIndex - pending.readerIndex()))
             events += StreamEvent(bytes, identifier(bytes))
+            isInsideEvent = false
         }
         pending.discardReadBytes()
+        scanIndex = pending.writerIndex()
         return events
     }
 
+    /** Returns the bytes after the last complete event; the caller has to release them. */
+    fun takeRemainder(): ByteBuf = Unpooled.copiedBuffer(pending).also { discardRemainder() }
+
     /** Removes the bytes after the last complete event. */
     fun discardRemainder() {
         pending.clear()
+        scanIndex = 0
+        isLineEmpty = true
+        isInsideEvent = false
     }
 
-    /** Index after the blank line that ends the first event; negative if the event is not complete. */
-    private fun eventEnd(): Int {
-        var lineLength = 0
-        for (index in pending.readerIndex() until pending.writerIndex()) {
-            when (pending.getByte(index)) {
+    /** Scans up to the blank line that ends the event; false if the event is not complete. */
+    private fun scanToEventEnd(): Boolean {
+        while (scanIndex < pending.writerIndex()) {
+            when (pending.getByte(scanIndex++)) {
                 LINE_FEED -> {
-                    if (lineLength == 0) return index + 1
-                    lineLength = 0
+                    if (isLineEmpty && isInsideEvent) return true
+                    isLineEmpty = true
                 }
 
                 CARRIAGE_RETURN -> Unit
 
-                else -> lineLength += 1
+                else -> {
+                    isLineEmpty = false
+                    isInsideEvent = true
+                }
             }
         }
-        return NOT_FOUND
+        return false
     }
 
     private fun identifier(event: ByteBuf): String? = event.toString(Charsets.UTF_8).lineSequence()
@@ -70,7 +84,6 @@
 
         /** A hundred times an event with some ten tokens. An event without end would fill the memory of the host. */
         const val MAXIMUM_EVENT_BYTES = 65_536
-        const val NOT_FOUND = -1
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -92,6 +92,7 @@
 
     private fun completeStream() {
         begin()
+        proxiedRequest.streamBytes(eventParser.takeRemainder())
         proxiedRequest.endStream(status.code())
     }
 
