Each test process of the scenarios allocates ports from its own range

Cause, from the logs that the run left behind: the TLS host had ended at its start with "cannot listen on 127.0.0.1:10417: Address already in use"; the other test process had given 10417 to the platform of its estate at the same time. Both processes took ports from the range of process 1, since the system property with the number of the process was empty in each ("" in the test reports), and an empty value counted as 1.

--- a/testing/src/main/kotlin/org/buckthornwheel/testing/FreePorts.kt
+++ b/testing/src/main/kotlin/org/buckthornwheel/testing/FreePorts.kt
@@ -19,7 +19,7 @@
     private const val MAXIMUM_PROCESSES = 4
     private const val PROCESS_PROPERTY = "buckthornwheel.test.process"
 
-    private val range = rangeOfProcess(System.getProperty(PROCESS_PROPERTY)?.toIntOrNull() ?: 1)
+    private val range = rangeOfProcess(processNumber(System.getProperty(PROCESS_PROPERTY)))
     private val allocated = HashSet<Int>()
 
     /** Allocates a random port that was free when it was checked. */
@@ -31,6 +31,12 @@
         }
     }
 
+    /** The number of this test process; 1 without [property]. */
+    private fun processNumber(property: String?): Int {
+        if (property == null) return 1
+        return requireNotNull(property.toIntOrNull()) { "$PROCESS_PROPERTY is not a number: \"$property\"" }
+    }
+
     /** The ports of test process [number]; a separate range, as another process may not have bound its ports yet. */
     private fun rangeOfProcess(number: Int): IntRange {
         require(number in 1..MAXIMUM_PROCESSES) { "$PROCESS_PROPERTY is $number, but must be 1 to $MAXIMUM_PROCESSES" }
