--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.nio.NioIoHandler
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
-import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
@@ -22,7 +21,6 @@
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
-import org.buckthornwheel.decision.shutdown.ShutdownAdmission
 import org.buckthornwheel.decision.startup.StartupAdmission
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
@@ -51,7 +49,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The readiness and directory endpoints, in the HTTP interface of a deployment. */
@@ -143,6 +140,8 @@
         clock,
     )
     private val listeners = ArrayList<Channel>()
+    private val gracefulShutdown =
+        GracefulShutdown(settings, shutdown, listOf(callerConnections, peerConnections), listeners, log, clock)
 
     /** Whether the host serves callers: it has a manifest and replicas and is not shutting down. */
     public val isReady: Boolean get() = !shutdown.hasBegun && routingState.manifest != null && replicas.size > 0
@@ -180,36 +179,7 @@
     }
 
     /** Shuts down gracefully: directs callers to other hosts, and completes late requests and those in progress. */
-    public fun stop() {
-        val begin = clock.now()
-        val directoryExpiresAt = begin + settings.directoryTimeToLive + DRAIN_SLACK
-        shutdown.begin(ShutdownAdmission(directoryExpiresAt, stopsAt = begin + settings.shutdownGrace))
-        log.write(LogPart.HOST, "stopping") { put("connections", callerConnections.size) }
-        loops.next().execute(heartbeats::sendToAll)
-        val lastAccept = begin + (settings.shutdownGrace - LAST_REQUESTS_TIME)
-        pollUntil(lastAccept) {
-            if (clock.now() >= directoryExpiresAt) closeIdleConnections(minimumIdle = REQUEST_ARRIVAL_TIME)
-            clock.now() >= directoryExpiresAt && hasNoConnections()
-        }
-        listeners.forEach { it.close().syncUninterruptibly() }
-        pollUntil(begin + settings.shutdownGrace) {
-            closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
-            hasNoConnections()
-        }
-        log.write(LogPart.HOST, "stopped") { put("connections", callerConnections.size) }
-    }
-
-    /** Waits until [isDone], but at most until [end]. */
-    private fun pollUntil(end: MonotonicInstant, isDone: () -> Boolean) {
-        while (clock.now() < end && !isDone()) Thread.sleep(STOP_POLL_INTERVAL.inWholeMilliseconds)
-    }
-
-    private fun closeIdleConnections(minimumIdle: Duration) {
-        callerConnections.closeIdle(minimumIdle)
-        peerConnections.closeIdle(minimumIdle)
-    }
-
-    private fun hasNoConnections(): Boolean = callerConnections.size == 0 && peerConnections.size == 0
+    public fun stop(): Unit = gracefulShutdown.run(announce = { loops.next().execute(heartbeats::sendToAll) })
 
     /** Adds a prompt [part] that a host quarantined [age] ago, according to the adapter's records. */
     public fun quarantineRecorded(part: String, age: Duration): Unit =
@@ -269,19 +239,5 @@
         /** Large enough for a caller's head and the envelope. */
         const val PEER_HEADER_BYTES = 65_536
         val PEER_LIMITS = InboundLimits(bodyBytes = 16_777_216, headerTimeout = 5.seconds, idleTimeout = 30.seconds)
-
-        val STOP_POLL_INTERVAL = 50.milliseconds
-
-        /** Time within which a request follows the connection or the last response; several round trips. */
-        val REQUEST_ARRIVAL_TIME = 500.milliseconds
-
-        /** End of the grace period, in which no connections are accepted and the last requests are completed. */
-        val LAST_REQUESTS_TIME = 400.milliseconds
-
-        /** Same as [REQUEST_ARRIVAL_TIME] in the last part of the grace period; a round trip between regions. */
-        val LAST_REQUEST_ARRIVAL_TIME = 150.milliseconds
-
-        /** Time for requests that are still in transit when the directory responses have expired. */
-        val DRAIN_SLACK = 500.milliseconds
     }
 }
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -0,0 +1,71 @@
+package org.buckthornwheel.forwarding.host
+
+import io.netty.channel.Channel
+import kotlinx.serialization.json.put
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.shutdown.ShutdownAdmission
+import org.buckthornwheel.forwarding.exchange.HostShutdown
+import org.buckthornwheel.forwarding.front.InboundConnections
+import org.buckthornwheel.forwarding.observability.DecisionLog
+import org.buckthornwheel.forwarding.observability.LogPart
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The end of an entry host: serves callers until the directory's responses that name the host have expired, then closes
+ * its connections as they become idle, within the grace period of [settings].
+ */
+internal class GracefulShutdown(
+    private val settings: EntryHostSettings,
+    private val shutdown: HostShutdown,
+    private val connections: List<InboundConnections>,
+    private val listeners: List<Channel>,
+    private val log: DecisionLog,
+    private val clock: MonotonicClock,
+) {
+    /** Runs the shutdown, and returns when the process may end; [announce] tells the other hosts. */
+    fun run(announce: () -> Unit) {
+        val begin = clock.now()
+        val directoryExpiresAt = begin + settings.directoryTimeToLive + DRAIN_SLACK
+        val end = begin + settings.shutdownGrace
+        shutdown.begin(ShutdownAdmission(directoryExpiresAt, stopsAt = end))
+        log.write(LogPart.HOST, "stopping") { put("connections", numberOfConnections()) }
+        announce()
+        pollUntil(begin + (settings.shutdownGrace - LAST_REQUESTS_TIME)) {
+            if (clock.now() >= directoryExpiresAt) closeIdleConnections(minimumIdle = REQUEST_ARRIVAL_TIME)
+            clock.now() >= directoryExpiresAt && numberOfConnections() == 0
+        }
+        listeners.forEach { it.close().syncUninterruptibly() }
+        pollUntil(end) {
+            closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
+            numberOfConnections() == 0
+        }
+        log.write(LogPart.HOST, "stopped") { put("connections", numberOfConnections()) }
+    }
+
+    /** Waits until [isDone], but at most until [end]. */
+    private fun pollUntil(end: MonotonicInstant, isDone: () -> Boolean) {
+        while (clock.now() < end && !isDone()) Thread.sleep(POLL_INTERVAL.inWholeMilliseconds)
+    }
+
+    private fun closeIdleConnections(minimumIdle: Duration): Unit = connections.forEach { it.closeIdle(minimumIdle) }
+
+    private fun numberOfConnections(): Int = connections.sumOf { it.size }
+
+    private companion object {
+        val POLL_INTERVAL = 50.milliseconds
+
+        /** Time within which a request follows the connection or the last response; several round trips. */
+        val REQUEST_ARRIVAL_TIME = 500.milliseconds
+
+        /** End of the grace period, in which no connections are accepted and the last requests are completed. */
+        val LAST_REQUESTS_TIME = 400.milliseconds
+
+        /** Same as [REQUEST_ARRIVAL_TIME] in the last part of the grace period; a round trip between regions. */
+        val LAST_REQUEST_ARRIVAL_TIME = 150.milliseconds
+
+        /** Time for requests that are still in transit when the directory responses have expired. */
+        val DRAIN_SLACK = 500.milliseconds
+    }
+}
