A host that ends names the requests that it leaves unanswered

The record of the incident could not tell whether a host had drained or run out of its grace period, nor which requests it cut: `stopped` named a number of callers' connections only. Now `stopped` says how long the stop took and how many connections were left, and an `unanswered` line names each request in progress at the end, with its attempts and its age.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -281,6 +281,16 @@
         running?.cancel()
     }
 
+    /** Called when the host itself ends. */
+    fun onHostEnd() {
+        if (isDone) return
+        context.log.write(LogPart.REQUEST, "unanswered") {
+            put("request", metadata.id.value)
+            put("attempts", history.count)
+            put("milliseconds", (context.clock.now() - policy.arrivedAt).inWholeMilliseconds)
+        }
+    }
+
     private fun statusAtDeadline(): HttpResponseStatus =
         if (history.mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -137,6 +137,11 @@
         if (!isBusy && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
     }
 
+    /** Called when the host itself ends. */
+    fun onHostEnd() {
+        proxiedRequest?.onHostEnd()
+    }
+
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         setConnection(headers)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
@@ -26,6 +26,11 @@
         connections.forEach { connection -> connection.eventLoop.execute(connection::recheckQuarantine) }
     }
 
+    /** Called when the host itself ends. */
+    fun onHostEnd() {
+        connections.forEach { connection -> connection.eventLoop.execute(connection::onHostEnd) }
+    }
+
     /** Closes the connections that have been idle for at least [minimumIdle]; a request may be arriving on others. */
     fun closeIdle(minimumIdle: Duration) {
         connections.forEach { connection -> connection.eventLoop.execute { connection.drain(minimumIdle) } }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -37,11 +37,21 @@
             clock.now() >= directoryExpiresAt && numberOfConnections() == 0
         }
         listeners.forEach { it.close().syncUninterruptibly() }
-        pollUntil(end) {
+        pollUntil(begin + (settings.shutdownGrace - FINAL_ANSWERS_TIME)) {
             closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
             numberOfConnections() == 0
         }
-        log.write(LogPart.HOST, "stopped") { put("connections", numberOfConnections()) }
+        endConnections(end)
+        log.write(LogPart.HOST, "stopped") {
+            put("connections", numberOfConnections())
+            put("milliseconds", (clock.now() - begin).inWholeMilliseconds)
+        }
+    }
+
+    /** Ends the remaining connections, and waits for that until [end]. */
+    private fun endConnections(end: MonotonicInstant) {
+        connections.forEach { it.onHostEnd() }
+        pollUntil(end) { numberOfConnections() == 0 }
     }
 
     /** Waits until [isDone], but at most until [end]. */
@@ -65,6 +75,9 @@
         /** Same as [REQUEST_ARRIVAL_TIME] in the last part of the grace period; a round trip between regions. */
         val LAST_REQUEST_ARRIVAL_TIME = 150.milliseconds
 
+        /** End of the grace period, in which the final answers reach the callers. */
+        val FINAL_ANSWERS_TIME = 150.milliseconds
+
         /** Time for requests that are still in transit when the directory responses have expired. */
         val DRAIN_SLACK = 500.milliseconds
     }
