Requests in progress at the end of the grace period are answered

Cause: the host ended at a fixed time, whatever was in progress. Admission only estimates how long a late request lasts (three target latencies); a replica that takes longer outlasts the host. Nothing gave the rest an answer before the process was halted. Ruled out: idle connections that are closed (the request had been passed on), the accept queue (never passed on), a signal during the start (the cut request came 3.5 s after SIGTERM).

Change: 150 ms before the end, each request in progress gets its final answer: 502 if a replica may have run it, 503 with Retry-After if certainly none did, also when its body has not arrived whole; a stream that has begun is broken off. Admission counts up to that moment. The same holds for requests of other hosts, whose callers then get 502 or go elsewhere.

Evidence: EndOfGracePeriodTest, both cases red before ("Expect that null"), green after.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -270,30 +270,23 @@
         reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfter)
     }
 
-    private fun onDeadline() {
+    private fun onDeadline(): Unit = end("deadline exceeded", HttpResponseStatus.GATEWAY_TIMEOUT, retryAfter = null)
+
+    /** Called when the host itself ends: ends the request, whose response it cannot wait for. */
+    fun onHostEnd(): Unit = end("host stopped", HttpResponseStatus.BAD_GATEWAY, OTHER_HOST_RETRY_AFTER)
+
+    /** Ends the request and its attempt, with [statusIfRun] unless it is certain that no replica ran the request. */
+    private fun end(reason: String, statusIfRun: HttpResponseStatus, retryAfter: Duration?) {
         if (isDone) return
         val running = attempt
-        if (hasBegunStream) {
-            abort("deadline exceeded")
-        } else {
-            reject(statusAtDeadline(), "deadline exceeded", retryAfter = null)
+        when {
+            hasBegunStream -> abort(reason)
+            history.mayHaveRun -> reject(statusIfRun, reason, retryAfter = null)
+            else -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfter)
         }
         running?.cancel()
     }
 
-    /** Called when the host itself ends. */
-    fun onHostEnd() {
-        if (isDone) return
-        context.log.write(LogPart.REQUEST, "unanswered") {
-            put("request", metadata.id.value)
-            put("attempts", history.count)
-            put("milliseconds", (context.clock.now() - policy.arrivedAt).inWholeMilliseconds)
-        }
-    }
-
-    private fun statusAtDeadline(): HttpResponseStatus =
-        if (history.mayHaveRun) HttpResponseStatus.GATEWAY_TIMEOUT else HttpResponseStatus.SERVICE_UNAVAILABLE
-
     private fun abort(reason: String) {
         if (isDone) return
         finish(BROKEN_STREAM_STATUS, reason)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -137,9 +137,15 @@
         if (!isBusy && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
     }
 
-    /** Called when the host itself ends. */
+    /** Called when the host itself ends: answers the request in progress or the one that is arriving. */
     fun onHostEnd() {
-        proxiedRequest?.onHostEnd()
+        if (isClosing || waiting != null) return
+        val running = proxiedRequest
+        when {
+            running != null -> running.onHostEnd()
+            isBusy -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            else -> context.close()
+        }
     }
 
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -28,8 +28,8 @@
     fun run(announce: () -> Unit) {
         val begin = clock.now()
         val directoryExpiresAt = begin + settings.directoryTimeToLive + DRAIN_SLACK
-        val end = begin + settings.shutdownGrace
-        shutdown.begin(ShutdownAdmission(directoryExpiresAt, stopsAt = end))
+        val answersEndAt = begin + (settings.shutdownGrace - FINAL_ANSWERS_TIME)
+        shutdown.begin(ShutdownAdmission(directoryExpiresAt, stopsAt = answersEndAt))
         log.write(LogPart.HOST, "stopping") { put("connections", numberOfConnections()) }
         announce()
         pollUntil(begin + (settings.shutdownGrace - LAST_REQUESTS_TIME)) {
@@ -37,18 +37,18 @@
             clock.now() >= directoryExpiresAt && numberOfConnections() == 0
         }
         listeners.forEach { it.close().syncUninterruptibly() }
-        pollUntil(begin + (settings.shutdownGrace - FINAL_ANSWERS_TIME)) {
+        pollUntil(answersEndAt) {
             closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
             numberOfConnections() == 0
         }
-        endConnections(end)
+        endConnections(begin + settings.shutdownGrace)
         log.write(LogPart.HOST, "stopped") {
             put("connections", numberOfConnections())
             put("milliseconds", (clock.now() - begin).inWholeMilliseconds)
         }
     }
 
-    /** Ends the remaining connections, and waits for that until [end]. */
+    /** Answers what is still in progress, and waits until the callers have closed, but at most until [end]. */
     private fun endConnections(end: MonotonicInstant) {
         connections.forEach { it.onHostEnd() }
         pollUntil(end) { numberOfConnections() == 0 }
