Pipelined requests are answered before a stopping host closes their connection

What callers saw: requests that were sent behind another one on the same connection were read whole by a stopping host and dropped; the connection ended after the first answer.

Cause: during a stop every answer announced the end of its connection, and what had been read behind it was discarded. Ruled out: the order of answers; without a stop the same requests are answered.

Change: the connection is closed after the last request that was read already. One that arrives after that announcement crosses it.

Evidence: PipelinedShutdownTest, red before with the statuses 200, none, none; green after.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -178,8 +178,9 @@
         context.close()
     }
 
+    /** During the shutdown, the connection is closed after the last of the requests that were read already. */
     private fun setConnection(headers: HttpHeaders) {
-        if (connections.isDraining) keepsAlive = false
+        if (connections.isDraining && queue.isEmpty()) keepsAlive = false
         if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
