Established connections are accepted before the listeners are closed

What callers saw: at the moment when a stopping host closed its listeners, connections that were established and had a whole request on them were reset, up to 25 at a stop under load.

Cause: closing a listener resets what waits in its accept queue. The event loop accepts 16 connections at a time and is milliseconds behind under load, so the queue is rarely empty.

Change: the listener accepts all that wait, then closes, in one task of its event loop. Connections that the kernel establishes between the two calls are still reset.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -4,7 +4,6 @@
 
 package org.buckthornwheel.forwarding.host
 
-import io.netty.channel.Channel
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -39,6 +38,7 @@
 import org.buckthornwheel.forwarding.listener.EndpointResponse
 import org.buckthornwheel.forwarding.listener.HttpEndpoint
 import org.buckthornwheel.forwarding.listener.Listeners
+import org.buckthornwheel.forwarding.listener.OpenListener
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
@@ -139,7 +139,7 @@
         log,
         clock,
     )
-    private val listeners = ArrayList<Channel>()
+    private val listeners = ArrayList<OpenListener>()
     private val gracefulShutdown =
         GracefulShutdown(settings, shutdown, listOf(callerConnections, peerConnections), listeners, log, clock)
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -1,12 +1,12 @@
 package org.buckthornwheel.forwarding.host
 
-import io.netty.channel.Channel
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.shutdown.ShutdownAdmission
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.front.InboundConnections
+import org.buckthornwheel.forwarding.listener.OpenListener
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.LogPart
 import kotlin.time.Duration
@@ -20,7 +20,7 @@
     private val settings: EntryHostSettings,
     private val shutdown: HostShutdown,
     private val connections: List<InboundConnections>,
-    private val listeners: List<Channel>,
+    private val listeners: List<OpenListener>,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
@@ -36,7 +36,7 @@
             if (clock.now() >= directoryExpiresAt) closeIdleConnections(minimumIdle = REQUEST_ARRIVAL_TIME)
             clock.now() >= directoryExpiresAt && numberOfConnections() == 0
         }
-        listeners.forEach { it.close().syncUninterruptibly() }
+        listeners.forEach(OpenListener::acceptAllAndClose)
         pollUntil(answersEndAt) {
             closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
             numberOfConnections() == 0
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
@@ -1,12 +1,12 @@
 package org.buckthornwheel.forwarding.listener
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpObjectAggregator
@@ -24,7 +24,7 @@
         address: NetworkAddress,
         headerBytes: () -> Int,
         connect: (SocketChannel) -> InboundConnection,
-    ): Channel = listen(address) { channel ->
+    ): OpenListener = listen(address) { channel ->
         val connection = connect(channel)
         channel.pipeline()
             .addLast(BytesReceivedNotifier(connection))
@@ -34,23 +34,25 @@
     }
 
     /** Listens for requests that [endpoint] serves. */
-    fun openEndpoint(address: NetworkAddress, endpoint: HttpEndpoint): Channel = listen(address) { channel ->
+    fun openEndpoint(address: NetworkAddress, endpoint: HttpEndpoint): OpenListener = listen(address) { channel ->
         channel.pipeline()
             .addLast(HttpServerCodec())
             .addLast(HttpObjectAggregator(MAXIMUM_ENDPOINT_BODY_BYTES))
             .addLast(EndpointHandler(endpoint))
     }
 
-    private fun listen(address: NetworkAddress, initialize: (SocketChannel) -> Unit): Channel {
+    private fun listen(address: NetworkAddress, initialize: (SocketChannel) -> Unit): OpenListener {
         val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel): Unit = initialize(channel)
             })
         KeepAliveOptions.set { option, value -> bootstrap.childOption(option, value) }
-        return bootstrap.bind(InetSocketAddress(address.host, address.port)).sync().channel()
+        val channel = bootstrap.bind(InetSocketAddress(address.host, address.port)).sync().channel()
+        return OpenListener(channel as NioServerSocketChannel)
     }
 
     private class BytesReceivedNotifier(private val connection: InboundConnection) : ChannelInboundHandlerAdapter() {
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
@@ -0,0 +1,14 @@
+package org.buckthornwheel.forwarding.listener
+
+import io.netty.channel.socket.nio.NioServerSocketChannel
+
+/** A listener that accepts connections until it is closed. */
+internal class OpenListener(private val channel: NioServerSocketChannel) {
+    /** Accepts the connections that are already established, since closing the listener would reset them, and closes. */
+    fun acceptAllAndClose() {
+        channel.eventLoop().submit {
+            channel.unsafe().read()
+            channel.close()
+        }.syncUninterruptibly()
+    }
+}
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/AcceptQueueTest.kt
@@ -0,0 +1,53 @@
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+internal class AcceptQueueTest {
+    private val host = RunningHost()
+    private val release = CountDownLatch(1)
+    private val replica = ScriptedReplica { request ->
+        if (request.line.contains("/silent")) release.await()
+        send(signedResponse(request, body = "answer"))
+    }.also { host.add("r1", it) }
+
+    @AfterEach
+    fun close() {
+        release.countDown()
+        replica.close()
+        host.close()
+    }
+
+    /** Guards against established connections that were reset because the listener was closed before it accepted them. */
+    @Test
+    fun `requests on connections that were not accepted yet are answered when the listener is closed`() {
+        val held = host.caller()
+        held.request("POST", "/act/silent", "held", "question")
+        awaitUntil { replica.requests.isNotEmpty() }
+        val stopping = thread { host.process.stop() }
+        Thread.sleep(BUSY_AFTER_MILLISECONDS)
+        host.process.loops.forEach { loop -> loop.execute { Thread.sleep(BUSY_MILLISECONDS) } }
+        val callers = List(CALLERS) { host.caller() }
+        callers.forEachIndexed { number, caller -> caller.request("POST", "/act/x", "q$number", "question") }
+        val responses = callers.map { it.readResponse()?.status }
+        expectThat(responses).isEqualTo(List(CALLERS) { 503 })
+        callers.forEach { it.close() }
+        stopping.join()
+        held.close()
+    }
+
+    private companion object {
+        /** The event loop is busy when the listeners are closed, 2.6 s after the stop of the fixture's host begins. */
+        const val BUSY_AFTER_MILLISECONDS = 2_400L
+        const val BUSY_MILLISECONDS = 350L
+        const val CALLERS = 20
+    }
+}
