A host counts the connections that a busy event loop has not registered yet

What callers saw: with several event loops, a request on an accepted connection ended without an answer as the host ended.

Cause: a host ended when it counted no connections. An accepted connection counts once its event loop has registered it, which happens in a task; a busy loop runs it late.

Change: after the listeners are closed, the host waits until each event loop has run what the listeners submitted, then counts.

The deployments in force have one event loop a host, so this is not the incident's cause there.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -141,7 +141,7 @@
     )
     private val listeners = ArrayList<OpenListener>()
     private val gracefulShutdown =
-        GracefulShutdown(settings, shutdown, listOf(callerConnections, peerConnections), listeners, log, clock)
+        GracefulShutdown(settings, shutdown, listOf(callerConnections, peerConnections), listeners, loops, log, clock)
 
     /** Whether the host serves callers: it has a manifest and replicas and is not shutting down. */
     public val isReady: Boolean get() = !shutdown.hasBegun && routingState.manifest != null && replicas.size > 0
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -1,5 +1,6 @@
 package org.buckthornwheel.forwarding.host
 
+import io.netty.channel.EventLoopGroup
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
@@ -21,6 +22,7 @@
     private val shutdown: HostShutdown,
     private val connections: List<InboundConnections>,
     private val listeners: List<OpenListener>,
+    private val loops: EventLoopGroup,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
@@ -36,7 +38,7 @@
             if (clock.now() >= directoryExpiresAt) closeIdleConnections(minimumIdle = REQUEST_ARRIVAL_TIME)
             clock.now() >= directoryExpiresAt && numberOfConnections() == 0
         }
-        listeners.forEach(OpenListener::acceptAllAndClose)
+        closeListeners(answersEndAt)
         pollUntil(answersEndAt) {
             closeIdleConnections(minimumIdle = LAST_REQUEST_ARRIVAL_TIME)
             numberOfConnections() == 0
@@ -48,6 +50,14 @@
         }
     }
 
+    /** Closes the listeners, and waits until all connections that they accepted are counted, but at most until [end]. */
+    private fun closeListeners(end: MonotonicInstant) {
+        listeners.forEach(OpenListener::acceptAllAndClose)
+        // Each event loop registers its new connections in a task that the listener submitted before.
+        val registered = loops.map { it.submit {} }
+        registered.forEach { it.awaitUninterruptibly(maxOf(Duration.ZERO, end - clock.now()).inWholeMilliseconds) }
+    }
+
     /** Answers what is still in progress, and waits until the callers have closed, but at most until [end]. */
     private fun endConnections(end: MonotonicInstant) {
         connections.forEach { it.onHostEnd() }
