--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -137,6 +137,17 @@
         if (!isBusy && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
     }
 
+    /** Called when the host itself ends: answers the request in progress or the one that is arriving. */
+    fun onHostEnd() {
+        if (isClosing || waiting != null) return
+        val running = proxiedRequest
+        when {
+            running != null -> running.onHostEnd()
+            isBusy -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            else -> context.close()
+        }
+    }
+
     override fun respond(status: HttpResponseStatus, headers: HttpHeaders, body: ByteBuf) {
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         setConnection(headers)
@@ -167,8 +178,9 @@
         context.close()
     }
 
+    /** During the shutdown, the connection is closed after the last of the requests that were read already. */
     private fun setConnection(headers: HttpHeaders) {
-        if (connections.isDraining) keepsAlive = false
+        if (connections.isDraining && queue.isEmpty()) keepsAlive = false
         if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/EndOfGracePeriodTest.kt
@@ -0,0 +1,81 @@
+/*
+ * A planned stop whose grace period ends while requests are in progress.
+ */
+
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.forwarding.fixture.RawCaller
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+internal class EndOfGracePeriodTest {
+    private val host = RunningHost()
+    private val release = CountDownLatch(1)
+    private val replica = ScriptedReplica { request ->
+        if (request.line.contains("/silent")) release.await()
+        send(signedResponse(request, body = "answer"))
+    }.also { host.add("r1", it) }
+
+    @AfterEach
+    fun close() {
+        release.countDown()
+        replica.close()
+        host.close()
+    }
+
+    /** Sends what [send] writes, and stops the host; the process would end when this function returns. */
+    private fun stopAfter(send: RawCaller.() -> Unit): RawCaller {
+        val caller = host.caller()
+        caller.send()
+        host.process.stop()
+        host.close()
+        return caller
+    }
+
+    /** Guards against requests in progress that ended without an answer together with the process. */
+    @Test
+    fun `a request that a replica may have run gets 502 before the host ends`() {
+        val caller = stopAfter {
+            request("POST", "/act/silent", "q1", "question")
+            awaitUntil { replica.requests.isNotEmpty() }
+        }
+        expectThat(caller.readResponse()).isNotNull().and {
+            get { status }.isEqualTo(502)
+            get { isComplete }.isEqualTo(true)
+            get { header("Retry-After") }.isNull()
+            get { header("Connection") }.isEqualTo("close")
+        }
+    }
+
+    /** Guards against a request that was still arriving when the host ended, and got no answer. */
+    @Test
+    fun `a request whose body is still arriving gets 503 before the host ends`() {
+        val held = host.caller()
+        held.request("POST", "/act/silent", "q1", "question")
+        awaitUntil { replica.requests.isNotEmpty() }
+        val stopping = thread { host.process.stop() }
+        Thread.sleep(ARRIVAL_MILLISECONDS)
+        val caller = host.caller()
+        caller.send("POST /act/x HTTP/1.1\r\nHost: gateway.example\r\nId: q2\r\nContent-Length: 100\r\n\r\nhalf")
+        stopping.join()
+        host.close()
+        expectThat(caller.readResponse()).isNotNull().get { status }.isEqualTo(503)
+        expectThat(replica.requests.size).isEqualTo(1)
+        held.close()
+    }
+
+    private companion object {
+        /** Within the grace period of 3 s, less than the fixture's idle timeout of 2 s before its end. */
+        const val ARRIVAL_MILLISECONDS = 1_500L
+    }
+}
