Requests are not forwarded to a host that announced its stop

What callers saw: 503 for requests that another host of the region would have served, while the only host of a zone was stopping. Their own host had received the heartbeat that announced the stop.

Cause: a host forwards to the primary hosts of the region, preferably of the chosen replica's zone. In a zone without a ready host, all known hosts are candidates for primary, so that heartbeats reach the one that becomes ready next. The same set was used for forwarding. A stopping host without a ready neighbour in its zone therefore went on getting requests until it was gone. It rejects what may outlast it, and the rejection excludes its whole region for that request.

Ruled out: lost heartbeats. In the test the forwarding host lists only the other host as ready.

Evidence: StoppingPeerTest with two southern hosts in two zones, the one of the replica's zone stopping.

Why this works: the hosts that may get forwarded requests are a set of their own. A primary host, which hears the others, forwards only to ready ones. A standby host, which does not, still assumes that the expected primaries are alive, except those that announced recently that they are not ready. Heartbeats are sent as before.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
@@ -8,12 +8,14 @@
  *
  * @property isHeard whether a heartbeat of it arrived recently.
  * @property isReady whether it is ready for callers.
+ * @property isDeclining whether it announced recently that it is not ready, as a stopping host does.
  * @property isRegistered whether it is registered in the store, as far as this host has learned.
  */
 internal data class EntryHostStatus(
     val host: EntryHostProfile,
     val isHeard: Boolean,
     val isReady: Boolean,
+    val isDeclining: Boolean,
     val isRegistered: Boolean,
 ) {
     /**
@@ -35,11 +37,14 @@
     val at: MonotonicInstant,
     val known: List<EntryHostStatus>,
     val ready: List<EntryHostProfile>,
-    val reachableRegions: Set<RegionName>,
     val primaries: Set<EntryHostProfile>,
+    val forwardingTargets: List<EntryHostProfile>,
     val possiblyAlive: List<EntryHostProfile>,
     self: EntryHostProfile,
 ) {
+    /** The other regions that have a host to which requests may be forwarded. */
+    val reachableRegions: Set<RegionName> = forwardingTargets.mapTo(HashSet()) { it.region }
+
     /** The hosts of this host's region among which those that use a cold replica are chosen. */
     val coldReplicaCandidates: List<EntryHostProfile> =
         PrimaryHosts.of(possiblyAlive.filter { it.region == self.region } + self)
@@ -52,21 +57,27 @@
                 at = at,
                 known = known,
                 ready = ready,
-                reachableRegions = reachableRegions(self, ready, primaries),
                 primaries = primaries,
+                forwardingTargets = forwardingTargets(self, known, primaries),
                 possiblyAlive = known.filter { it.mayBeAlive }.map { it.host },
                 self = self,
             )
         }
 
-        /** A standby host gets no heartbeats from other regions and assumes that their expected primaries are alive. */
-        private fun reachableRegions(
+        /**
+         * The primary hosts of other regions that take requests. A standby host gets no heartbeats from other regions
+         * and assumes that their expected primaries are alive unless they declined.
+         */
+        private fun forwardingTargets(
             self: EntryHostProfile,
-            ready: List<EntryHostProfile>,
+            known: List<EntryHostStatus>,
             primaries: Set<EntryHostProfile>,
-        ): Set<RegionName> {
-            val hosts = if (self in primaries) ready else ready + primaries
-            return hosts.mapTo(HashSet()) { it.region } - self.region
+        ): List<EntryHostProfile> {
+            val isStandby = self !in primaries
+            return known
+                .filter { it.host.region != self.region && it.host in primaries }
+                .filter { it.isReady || (isStandby && !it.isDeclining) }
+                .map { it.host }
         }
 
         /**
@@ -74,7 +85,7 @@
          * hosts. If all have sent one recently, the candidates are all of them, since one is about to become ready.
          */
         private fun primaries(self: EntryHostProfile, known: List<EntryHostStatus>): Set<EntryHostProfile> {
-            val own = EntryHostStatus(self, isHeard = true, isReady = true, isRegistered = true)
+            val own = EntryHostStatus(self, isHeard = true, isReady = true, isDeclining = false, isRegistered = true)
             val zones = (known + own).groupBy { it.host.zone }
             return zones.values.flatMapTo(HashSet()) { hosts ->
                 val candidates = hosts.filter { it.isReady }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -92,7 +92,7 @@
 
     /** The hosts of [region] to which requests are forwarded. */
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHostProfile> =
-        snapshot(now).primaries.filter { it.region == region }
+        snapshot(now).forwardingTargets.filter { it.region == region }
 
     /** Whether this host is a standby host that copies its state from live primary hosts of its region. */
     public fun followsPrimaries(now: MonotonicInstant): Boolean {
@@ -157,8 +157,11 @@
         EntryHostSnapshot.of(self, now, known.values.map { statusAt(it, now) }).also { snapshot = it }
     }
 
-    private fun statusAt(entry: Entry, now: MonotonicInstant): EntryHostStatus =
-        EntryHostStatus(entry.host, isHeardAt(entry, now), isReadyAt(entry, now), entry.isRegistered)
+    private fun statusAt(entry: Entry, now: MonotonicInstant): EntryHostStatus {
+        val isHeard = isHeardAt(entry, now)
+        val isDeclining = isHeard && !entry.isReady
+        return EntryHostStatus(entry.host, isHeard, isReadyAt(entry, now), isDeclining, entry.isRegistered)
+    }
 
     private fun isHeardAt(entry: Entry, now: MonotonicInstant): Boolean =
         entry.heardAt?.let { now - it < BUDGET_SHARE_SILENCE } ?: false
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/KnownEntryHostsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/KnownEntryHostsTest.kt
@@ -27,10 +27,16 @@
     private val self = host("self", "north")
     private val hosts = KnownEntryHosts(self)
 
-    private fun host(name: String, region: String, incarnation: Long = 1, cores: Double = 0.75) = EntryHostProfile(
+    private fun host(
+        name: String,
+        region: String,
+        incarnation: Long = 1,
+        cores: Double = 0.75,
+        zone: String = "$region-a",
+    ) = EntryHostProfile(
         HostName(name),
         Incarnation(incarnation),
-        ZoneName("$region-a"),
+        ZoneName(zone),
         RegionName(region),
         NetworkAddress("10.0.0.1", 80),
         NetworkAddress("10.0.0.1", 81),
@@ -123,6 +129,20 @@
             expectThat(standby.primaries(far.region, now)).containsExactly(far)
         }
 
+        /** Guards against forwarding to a stopping host because its zone has no other. */
+        @Test
+        fun `no host forwards requests to one that announced that it is not ready`() {
+            val standby = KnownEntryHosts(host("standby", "north", cores = 0.3))
+            for (known in listOf(hosts, standby)) {
+                known.recordHeartbeat(host("large", "north", cores = 1.5), isReady = true, now)
+                known.recordHeartbeat(host("leaving", "south", zone = "south-b"), isReady = false, now)
+                expectThat(known.primaries(RegionName("south"), now)).isEmpty()
+                expectThat(known.reachableRegions(now)).isEmpty()
+                known.recordHeartbeat(host("ready", "south"), isReady = true, now)
+                expectThat(known.primaries(RegionName("south"), now).map { it.name.value }).containsExactly("ready")
+            }
+        }
+
         @Test
         fun `small ones replace the large ones that are gone`() {
             recordHeartbeats(listOf(large[0]) + small)
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
@@ -0,0 +1,80 @@
+/*
+ * Requests that a host of another region forwards to a host that is stopping.
+ */
+
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import java.util.concurrent.CountDownLatch
+import kotlin.concurrent.thread
+
+internal class StoppingPeerTest {
+    private val north = RunningHost("north-1", "north")
+    private val seeds = listOf(north.self.peerAddress)
+    private val stopping = RunningHost("south-1", "south", seeds)
+    private val hosts = arrayListOf(north, stopping)
+    private val release = CountDownLatch(1)
+    private val replica = ScriptedReplica { request ->
+        if (request.line.contains("/held")) release.await()
+        send(signedResponse(request, body = "answer"))
+    }
+    private val held = stopping.caller()
+    private var stop: Thread? = null
+
+    @AfterEach
+    fun close() {
+        release.countDown()
+        held.close()
+        stop?.join()
+        replica.close()
+        hosts.forEach { it.close() }
+    }
+
+    private fun now() = MonotonicClock.SYSTEM.now()
+
+    private fun startOther(zone: String) {
+        hosts += RunningHost("south-2", "south", seeds + stopping.self.peerAddress, zone = zone)
+        hosts.forEach { it.add("s1", replica, region = "south") }
+        awaitUntil { north.process.hosts.ready(now()).size == 2 }
+    }
+
+    /** A request in progress keeps the host from ending before the end of its grace period. */
+    private fun stopWithARequestInProgress() {
+        held.request("POST", "/patient/held", "held")
+        awaitUntil { replica.requests.isNotEmpty() }
+        stop = thread { stopping.process.stop() }
+        awaitUntil { !stopping.process.isReady }
+        Thread.sleep(DIRECTORY_EXPIRY_MILLISECONDS)
+    }
+
+    private fun statuses(count: Int): Map<Int?, Int> = (1..count).map { number ->
+        north.caller().use { caller ->
+            caller.request("POST", "/patient/x", "q$number", "question")
+            caller.readResponse()?.status
+        }
+    }.groupingBy { it }.eachCount()
+
+    /** Guards against a 503 for requests that are nearest to a zone whose only host is stopping. */
+    @Test
+    fun `a request nearest to the zone of a stopping host is forwarded to a ready host of its region`() {
+        startOther(zone = "south-b")
+        stopWithARequestInProgress()
+        expectThat(north.process.hosts.ready(now()).single().name.value).isEqualTo("south-2")
+        expectThat(statuses(REQUESTS)).isEqualTo(mapOf(200 to REQUESTS))
+    }
+
+    private companion object {
+        const val REQUESTS = 20
+
+        /** Longer than the fixture's directory time to live of 300 ms plus the slack for requests in transit. */
+        const val DIRECTORY_EXPIRY_MILLISECONDS = 900L
+    }
+}
