--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -50,7 +50,7 @@
         }
     }
 
-    /** Closes the listeners, and waits until all connections that they accepted are counted, but at most until [end]. */
+    /** Closes the listeners; waits until the connections that they accepted are counted, but at most until [end]. */
     private fun closeListeners(end: MonotonicInstant) {
         listeners.forEach(OpenListener::acceptAllAndClose)
         // Each event loop registers its new connections in a task that the listener submitted before.
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
@@ -4,7 +4,7 @@
 
 /** A listener that accepts connections until it is closed. */
 internal class OpenListener(private val channel: NioServerSocketChannel) {
-    /** Accepts the connections that are already established, since closing the listener would reset them, and closes. */
+    /** Accepts the established connections, which closing the listener would reset, and closes it. */
     fun acceptAllAndClose() {
         channel.eventLoop().submit {
             channel.unsafe().read()
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/AcceptQueueTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/AcceptQueueTest.kt
@@ -26,7 +26,7 @@
         host.close()
     }
 
-    /** Guards against established connections that were reset because the listener was closed before it accepted them. */
+    /** Guards against established connections that were reset as the listener was closed. */
     @Test
     fun `requests on connections that were not accepted yet are answered when the listener is closed`() {
         val held = host.caller()
