A request that a stopping host rejects goes to another host of its region

What callers saw: 503 for requests that were forwarded to a stopping host, although another host of the same region would have served them, if the heartbeats that announce the stop had not arrived.

Cause: only datagrams told other hosts of the stop. A rejection by the stopping host counted as one of its region, so that the request was not sent to the other hosts there, and the next requests went to the same host again.

Evidence: StoppingPeerTest, with the heartbeats of the stopping host ignored. After: 20 of 20 got 200.

Why this works: a stopping host closes each connection after a response, and says so in the response. A host that reads this about a request of its own no longer forwards to the other one until a heartbeat says that it is ready. A rejection as not sent, with this announcement, is read as one by the host and excludes nothing else. Responses to unreadable requests, which close the connection too, name no request and don't count.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -76,6 +76,11 @@
         !wasAlive
     }
 
+    /** Records that [host] announced its stop in a response; the heartbeat that says so may be lost. */
+    public fun recordStopping(host: EntryHostProfile, now: MonotonicInstant) {
+        recordHeartbeat(host, isReady = false, Duration.ZERO, now)
+    }
+
     /** Removes hosts that have been silent for so long that they must have been replaced. */
     public fun removeExpired(now: MonotonicInstant): Unit = synchronized(lock) {
         val isRemoved = known.values.removeIf { entry ->
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
@@ -61,6 +61,6 @@
         possibleRuns -= 1
         if (outcome == PeerOutcome.NOT_RUN) return
         count -= 1
-        fullRegions += region
+        if (outcome == PeerOutcome.NOT_SENT) fullRegions += region
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
@@ -65,6 +66,9 @@
         if (isEnded) return
         val received = context.dialect.readResponse(head.status().code(), head.headers())
         if (received.isUnsignedSuccess(head)) return broken("successful response without signature")
+        if (received.requestId != null && !HttpUtil.isKeepAlive(head)) {
+            context.hosts.recordStopping(host, context.clock.now())
+        }
         outcome = PeerEnvelope.outcome(head.headers())
         retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()?.takeIf { it.isFinite() }
         PeerEnvelope.remove(head.headers())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -4,6 +4,8 @@
 
 package org.buckthornwheel.forwarding.exchange
 
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
@@ -25,6 +27,9 @@
 
     /** Replicas received the request and refused it. */
     NOT_RUN("not-run"),
+
+    /** The host is stopping and did not send the request to any replica; other hosts of its region may. */
+    HOST_STOPPING("host-stopping"),
 }
 
 /** The policy of a request that is forwarded to another region; times are in milliseconds. */
@@ -108,8 +113,14 @@
             headers.set(OUTCOME_HEADER, outcome.text)
         }
 
-        /** The outcome that the other host reports for a request that was not run; null if the request may have run. */
-        fun outcome(headers: HttpHeaders): PeerOutcome? =
-            PeerOutcome.entries.firstOrNull { it.text == headers.get(OUTCOME_HEADER) }
+        /**
+         * The outcome that the other host reports for a request that was not run; null if the request may have run.
+         * A stopping host announces that it closes the connection.
+         */
+        fun outcome(headers: HttpHeaders): PeerOutcome? {
+            val reported = PeerOutcome.entries.firstOrNull { it.text == headers.get(OUTCOME_HEADER) }
+            val isStopping = headers.containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true)
+            return if (reported == PeerOutcome.NOT_SENT && isStopping) PeerOutcome.HOST_STOPPING else reported
+        }
     }
 }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
@@ -4,6 +4,7 @@
 
 package org.buckthornwheel.forwarding.host
 
+import org.buckthornwheel.api.Incarnation
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
@@ -13,8 +14,10 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
 
 internal class StoppingPeerTest {
     private val north = RunningHost("north-1", "north")
@@ -71,6 +74,21 @@
         expectThat(statuses(REQUESTS)).isEqualTo(mapOf(200 to REQUESTS))
     }
 
+    /** Guards against a 503 for requests that reach a stopping host whose heartbeats are lost. */
+    @Test
+    fun `a request that a stopping host rejects is forwarded to another host of its region`() {
+        startOther(zone = "south-a")
+        loseHeartbeats()
+        stopWithARequestInProgress()
+        expectThat(statuses(REQUESTS)).isEqualTo(mapOf(200 to REQUESTS))
+    }
+
+    /** Heartbeats of an earlier incarnation than the known one count for nothing, as if they were lost. */
+    private fun loseHeartbeats() {
+        val later = stopping.self.copy(incarnation = Incarnation(2))
+        north.process.hosts.recordHeartbeat(later, isReady = true, interval = 10.seconds, now())
+    }
+
     private companion object {
         const val REQUESTS = 20
 
