A response that is still being written keeps its connection from counting as idle

What callers saw: of 30 pipelined responses of 250,000 bytes that a caller read late, a stopping host sent 16 whole and cut the 17th; the rest never came. A request that was read and still queued could be dropped with its connection at the end of the grace period.

Cause: a connection counted as idle from the moment at which its response was handed over, not written. Half a second later the stop closed it, with what was unwritten. Ruled out: the caller (without a stop the same responses arrive whole; the reviewer's control).

Change: idleness is counted from the completed write; a connection with unwritten responses or queued requests is not closed as idle.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -69,6 +69,7 @@
     private var isClosing = false
     private var timer: ScheduledFuture<*>? = null
     private var isReadingHead = false
+    private var unwrittenResponses = 0
     private var idleSince = MonotonicClock.SYSTEM.now()
 
     val eventLoop get() = context.channel().eventLoop()
@@ -77,6 +78,8 @@
 
     private val isBusy: Boolean get() = hasRequest || assembler != null || isReadingHead
 
+    private val isIdle: Boolean get() = !isBusy && queue.isEmpty() && unwrittenResponses == 0
+
     override val isWritable: Boolean get() = context.channel().isWritable
 
     override fun handlerAdded(added: ChannelHandlerContext) {
@@ -134,7 +137,7 @@
 
     /** Closes the connection if it has been idle for [minimumIdle]; otherwise, its next response announces that. */
     fun drain(minimumIdle: Duration) {
-        if (!isBusy && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
+        if (isIdle && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
     }
 
     /** Called when the host itself ends: answers the request in progress or the one that is arriving. */
@@ -144,7 +147,7 @@
         when {
             running != null -> running.onHostEnd()
             isBusy -> reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
-            else -> context.close()
+            isIdle -> context.close()
         }
     }
 
@@ -186,10 +189,10 @@
 
     private fun end(written: io.netty.channel.ChannelFuture) {
         proxiedRequest = null
-        idleSince = MonotonicClock.SYSTEM.now()
+        unwrittenResponses += 1
+        written.addListener(ChannelFutureListener { onResponseWritten() })
         if (!keepsAlive) {
             isClosing = true
-            written.addListener(ChannelFutureListener { halfClose() })
             return
         }
         awaitRequest()
@@ -197,6 +200,12 @@
         if (queue.isNotEmpty()) eventLoop.execute(::readQueue)
     }
 
+    private fun onResponseWritten() {
+        unwrittenResponses -= 1
+        idleSince = MonotonicClock.SYSTEM.now()
+        if (isClosing && unwrittenResponses == 0) halfClose()
+    }
+
     /** Half-closes, since closing with unread bytes would reset the connection and lose the last response. */
     private fun halfClose() {
         val channel = context.channel() as SocketChannel
