The shutdown waits for a busy event loop only until its grace period ends

What callers saw: nothing yet. A host whose event loop is blocked went on waiting for it after its grace period, until the platform kills it, without final answers.

Cause: closing the listeners waited without limit, as it had done before this incident.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.forwarding.host
 
 import io.netty.channel.EventLoopGroup
+import io.netty.util.concurrent.Future
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
@@ -52,10 +53,13 @@
 
     /** Closes the listeners; waits until the connections that they accepted are counted, but at most until [end]. */
     private fun closeListeners(end: MonotonicInstant) {
-        listeners.forEach(OpenListener::acceptAllAndClose)
+        awaitAll(listeners.map(OpenListener::acceptAllAndClose), end)
         // Each event loop registers its new connections in a task that the listener submitted before.
-        val registered = loops.map { it.submit {} }
-        registered.forEach { it.awaitUninterruptibly(maxOf(Duration.ZERO, end - clock.now()).inWholeMilliseconds) }
+        awaitAll(loops.map { it.submit {} }, end)
+    }
+
+    private fun awaitAll(tasks: List<Future<*>>, end: MonotonicInstant): Unit = tasks.forEach { task ->
+        task.awaitUninterruptibly(maxOf(Duration.ZERO, end - clock.now()).inWholeMilliseconds)
     }
 
     /** Answers what is still in progress, and waits until the callers have closed, but at most until [end]. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
@@ -1,14 +1,13 @@
 package org.buckthornwheel.forwarding.listener
 
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.util.concurrent.Future
 
 /** A listener that accepts connections until it is closed. */
 internal class OpenListener(private val channel: NioServerSocketChannel) {
     /** Accepts the established connections, which closing the listener would reset, and closes it. */
-    fun acceptAllAndClose() {
-        channel.eventLoop().submit {
-            channel.unsafe().read()
-            channel.close()
-        }.syncUninterruptibly()
+    fun acceptAllAndClose(): Future<*> = channel.eventLoop().submit {
+        channel.unsafe().read()
+        channel.close()
     }
 }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/EndOfGracePeriodTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/EndOfGracePeriodTest.kt
@@ -74,7 +74,19 @@
         held.close()
     }
 
+    /** Guards against a host that waits without limit for a busy event loop, until the platform kills it. */
+    @Test
+    fun `the shutdown ends with the grace period while an event loop is blocked`() {
+        host.process.loops.forEach { loop -> loop.execute { release.await() } }
+        val stopping = thread { host.process.stop() }
+        stopping.join(2 * GRACE_MILLISECONDS)
+        expectThat(stopping.isAlive).isEqualTo(false)
+        release.countDown()
+    }
+
     private companion object {
+        const val GRACE_MILLISECONDS = 3_000L
+
         /** Within the grace period of 3 s, less than the fixture's idle timeout of 2 s before its end. */
         const val ARRIVAL_MILLISECONDS = 1_500L
     }
