A stopping host leaves repeatable forwarded requests to the host that forwarded them

What callers saw: 502 for idempotent requests and streams without an event that a host forwarded to a stopping one, which answered them with 502 at the end of its grace period.

Cause: a host relays a complete failure of another host and retries only after a broken connection.

Change: at its end, a host breaks off a forwarded request that may be repeated and may have run; the forwarding host still answers the caller. Requests that may not be repeated get 502, those that were not sent 503, as before.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -273,7 +273,14 @@
     private fun onDeadline(): Unit = end("deadline exceeded", HttpResponseStatus.GATEWAY_TIMEOUT, retryAfter = null)
 
     /** Called when the host itself ends: ends the request, whose response it cannot wait for. */
-    fun onHostEnd(): Unit = end("host stopped", HttpResponseStatus.BAD_GATEWAY, OTHER_HOST_RETRY_AFTER)
+    fun onHostEnd() {
+        val mayRunElsewhere = !policy.mayForward && policy.isRetryable && history.mayHaveRun
+        if (!mayRunElsewhere) return end("host stopped", HttpResponseStatus.BAD_GATEWAY, OTHER_HOST_RETRY_AFTER)
+        // The host that forwarded the request retries it if its connection ends, but relays a failure.
+        val running = attempt
+        abort("host stopped")
+        running?.cancel()
+    }
 
     /** Ends the request and its attempt, with [statusIfRun] unless it is certain that no replica ran the request. */
     private fun end(reason: String, statusIfRun: HttpResponseStatus, retryAfter: Duration?) {
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
@@ -83,6 +83,25 @@
         expectThat(statuses(REQUESTS)).isEqualTo(mapOf(200 to REQUESTS))
     }
 
+    /** Guards against a failure of a request that another host of the region can still run. */
+    @Test
+    fun `an idempotent request in progress at the end of a stopping host is run through another host`() {
+        hosts.forEach { it.add("s1", replica, region = "south") }
+        awaitUntil { north.process.hosts.ready(now()).size == 1 }
+        val caller = north.caller()
+        caller.request("GET", "/read/held", "q1")
+        awaitUntil { replica.requests.size == 1 }
+        startOther(zone = "south-a")
+        stop = thread {
+            stopping.process.stop()
+            release.countDown()
+        }
+        val response = caller.readResponse()
+        caller.close()
+        expectThat(response).isNotNull().get { status }.isEqualTo(200)
+        expectThat(replica.requests.size).isEqualTo(2)
+    }
+
     /** Heartbeats of an earlier incarnation than the known one count for nothing, as if they were lost. */
     private fun loseHeartbeats() {
         val later = stopping.self.copy(incarnation = Incarnation(2))
