A stopping daemon answers what it accepted before it ends

What callers saw: around SIGTERM the connection of a request ended without a response although a target had run the request, directly or through a host of another zone. A stream stopped in the middle without an end.

Cause: Gateway.stop() took one look at the number of requests in progress, or its grace time ran out, and then stopped the listeners. Requests that arrived after the look were still passed on to targets, and those in progress at the end of the grace time were cut with the connection.

Change: RequestsInFlight.shutDown() serves until no request is in progress, at most for half of the grace time, then refuses new requests without passing them on, waits for the others, and at the end of the grace time replaces their results by a failure of unknown outcome; a stream ends in an error event. A request is counted before the refusal is checked, so one that is let in is also waited for. From SIGTERM each HTTP/1.1 response carries "Connection: close". A refused retry with an idempotency key reports an unknown outcome, as an earlier attempt may have run.

Evidence: RequestsCutAtShutdownTest terminates the hosts of two zones while 24 callers, on reused and on new connections, send actions to them, half forwarded and half run in their zone, beside a stream and a buffered completion that outlast the grace time of 2 s. GracefulShutdownTest, HostExitTest, BrokenStreamTest and the daemon's tests passed.

Not covered: the TLS listener (Netty) was not run.

--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/Gateway.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/Gateway.kt
@@ -5,7 +5,6 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeoutOrNull
 import org.buckthornwheel.api.Incarnation
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.daemon.action.ActionZone
@@ -72,6 +71,7 @@
     private val codec = PeerCodec(signer(), MAXIMUM_PEER_MESSAGE_BYTES)
     private val addresses = AddressBook(settings.addressMappings)
     private val inFlight = RequestsInFlight()
+    private val stopping = AtomicBoolean()
 
     private val store = EtcdKeyValueStore(platformClient, settings.platform.keyValueService, platformTimeout)
     private val hostList =
@@ -115,16 +115,18 @@
 
     private val audit = PlatformAuditTrail(store, clock, registry)
     private val callers =
-        Listener(settings.listen.callers.address(), settings.tls.callers) { callerRoutes().install(this) }
-    private val peers = Listener(settings.listen.peers.address()) { peerRoutes().install(this) }
+        Listener(settings.listen.callers.address(), settings.tls.callers, stopping::get) {
+            callerRoutes().install(this)
+        }
+    private val peers =
+        Listener(settings.listen.peers.address(), isStopping = stopping::get) { peerRoutes().install(this) }
     private val administration =
-        Listener(settings.listen.administration.address(), settings.tls.administration) {
+        Listener(settings.listen.administration.address(), settings.tls.administration, stopping::get) {
             administrationRoutes().install(this)
         }
 
     private val orders = Orders(settings.orders, orderEnvironment())
     private val background = BackgroundLoops()
-    private val stopping = AtomicBoolean()
     private val ended = CountDownLatch(1)
 
     /** Starts every part; returns when the listeners accept connections. */
@@ -153,7 +155,7 @@
     /** Waits until [stop] has finished. */
     fun awaitEnd(): Unit = ended.await()
 
-    /** Shuts down gracefully: announces that the host is leaving, serves arriving requests, ends after the last one. */
+    /** Shuts down gracefully: announces that the host is leaving, answers every request, then closes the listeners. */
     fun stop() {
         if (!stopping.compareAndSet(false, true)) return
         Part.GATEWAY.info("Shutting down; ${inFlight.current} requests are in progress.")
@@ -161,7 +163,7 @@
         runBlocking {
             membershipParts.transport.announce()
             delay(LEAVE_ANNOUNCEMENT_DELAY)
-            withTimeoutOrNull(timeouts.shutdownGraceMilliseconds) { inFlight.awaitNone() }
+            inFlight.shutDown(timeouts.shutdownGraceMilliseconds.milliseconds)
             actionZone.leave()
         }
         listOf(callers, peers, administration).forEach { it.stop() }
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/Listener.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/Listener.kt
@@ -1,6 +1,9 @@
 package org.buckthornwheel.daemon
 
+import io.ktor.http.HttpHeaders
 import io.ktor.server.application.Application
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
 import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.applicationEnvironment
@@ -8,6 +11,8 @@
 import io.ktor.server.engine.sslConnector
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.request.httpVersion
+import io.ktor.server.response.header
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.settings.KeyStoreFile
 import java.io.IOException
@@ -17,10 +22,15 @@
 import kotlin.io.path.Path
 import kotlin.io.path.readText
 
-/** One HTTP server of the process with its own address; it uses TLS if [keyStore] is given. */
+/**
+ * One HTTP server of the process with its own address; it uses TLS if [keyStore] is given.
+ *
+ * While [isStopping], each response announces the end of its connection, so that callers send no request on it later.
+ */
 internal class Listener(
     private val address: NetworkAddress,
     private val keyStore: KeyStoreFile? = null,
+    private val isStopping: () -> Boolean,
     private val routes: Application.() -> Unit,
 ) {
     private val server: EmbeddedServer<*, *> = keyStore?.let(::tlsServer) ?: plainServer()
@@ -35,6 +45,15 @@
         server.stop(STOP_GRACE_MILLISECONDS, STOP_GRACE_MILLISECONDS)
     }
 
+    private fun install(application: Application) {
+        application.intercept(ApplicationCallPipeline.Plugins) {
+            if (isStopping() && call.request.httpVersion == HTTP_1_1) {
+                call.response.header(HttpHeaders.Connection, "close")
+            }
+        }
+        application.routes()
+    }
+
     // Binds a plain socket first, because the engines report an address in use only on one of their own threads.
     private fun checkAddress() {
         try {
@@ -45,7 +64,7 @@
     }
 
     private fun plainServer(): EmbeddedServer<*, *> =
-        embeddedServer(CIO, host = address.host, port = address.port, module = routes)
+        embeddedServer(CIO, host = address.host, port = address.port, module = ::install)
 
     // Uses Netty, because the CIO engine does not support TLS for servers.
     private fun tlsServer(files: KeyStoreFile): EmbeddedServer<*, *> {
@@ -57,10 +76,11 @@
                 port = address.port
             }
         }
-        return embeddedServer(Netty, applicationEnvironment(), configure, routes)
+        return embeddedServer(Netty, applicationEnvironment(), configure, ::install)
     }
 
     private companion object {
         const val STOP_GRACE_MILLISECONDS = 200L
+        const val HTTP_1_1 = "HTTP/1.1"
     }
 }
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/caller/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/caller/CallerRoutes.kt
@@ -67,7 +67,7 @@
     }
 
     private suspend fun process(call: ApplicationCall, id: RequestId, responder: Responder): Unit = try {
-        reader.read(call, id).fold(
+        inFlight.untilInterrupted(Step.READ_REQUEST, Outcome.NOT_RUN) { reader.read(call, id) }.fold(
             ifLeft = { responder.fail(it) },
             ifRight = { service.serve(it, responder) },
         )
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/peer/PeerRoutes.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/peer/PeerRoutes.kt
@@ -82,7 +82,8 @@
         val responder = HttpResponder(call, id, hops)
         either {
             val checked = envelope.bind()
-            requestOf(checked, reader.readBody(call).bind()).bind()
+            val body = inFlight.untilInterrupted(Step.READ_REQUEST, Outcome.NOT_RUN) { reader.readBody(call) }.bind()
+            requestOf(checked, body).bind()
         }.fold(
             ifLeft = { responder.fail(it) },
             ifRight = { service.serve(it, responder) },
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/request/RequestParts.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/request/RequestParts.kt
@@ -86,10 +86,11 @@
     val gate: AdmissionGate = AdmissionGate(admission, shedding, state.estate, clock)
     private val attempts =
         RequestAttempts(state.estate, router, attemptRules(), state.membership.membership, requestMeters, clock)
-    private val streams = StreamRelay(attempts, dispatcher, forwarder, requestMeters)
+    private val streams = StreamRelay(attempts, dispatcher, forwarder, requestMeters, inFlight)
 
     /** Processes each request. */
-    val service: RequestService = RequestService(attempts, streams, dispatcher, forwarder, actions, gate)
+    val service: RequestService =
+        RequestService(attempts, streams, dispatcher, forwarder, actions, gate, inFlight)
 
     /** Reads and validates the requests of callers and other hosts. */
     val reader: RequestReader =
--- a/daemon/src/main/kotlin/org/buckthornwheel/daemon/request/StreamRelay.kt
+++ b/daemon/src/main/kotlin/org/buckthornwheel/daemon/request/StreamRelay.kt
@@ -32,6 +32,7 @@
     private val dispatcher: TargetDispatcher,
     private val forwarder: PeerForwarder,
     private val meters: RequestMeters,
+    private val inFlight: RequestsInFlight,
 ) {
     /** Streams the response of [request] to [responder]; returns a failure only if nothing was written. */
     suspend fun serve(request: GatewayRequest, responder: Responder): Either<GatewayFailure, Unit> = coroutineScope {
@@ -79,13 +80,15 @@
     private suspend fun produce(request: GatewayRequest, steps: SendChannel<RelayedStep>) {
         val progress = StreamProgress(request.body)
         var origin: ResponseOrigin? = null
-        val end = attempts.run(request) { destination ->
-            if (progress.hasBegun) meters.continuedStreams.increment()
-            attempt(request, progress, destination) { attemptOrigin, data ->
-                val verdict = if (data == UpstreamClient.END_OF_STREAM) EventVerdict.NEW else progress.accept(data)
-                origin = origin ?: attemptOrigin
-                if (verdict == EventVerdict.NEW) steps.send(RelayedStep(origin, StreamStep.Event(data)))
-                verdict
+        val end = inFlight.untilInterrupted(Step.READ_ANSWER, Outcome.UNKNOWN) {
+            attempts.run(request) { destination ->
+                if (progress.hasBegun) meters.continuedStreams.increment()
+                attempt(request, progress, destination) { attemptOrigin, data ->
+                    val verdict = if (data == UpstreamClient.END_OF_STREAM) EventVerdict.NEW else progress.accept(data)
+                    origin = origin ?: attemptOrigin
+                    if (verdict == EventVerdict.NEW) steps.send(RelayedStep(origin, StreamStep.Event(data)))
+                    verdict
+                }
             }
         }
         steps.send(RelayedStep(origin, end.toFinalStep(request)))
--- a/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/request/RequestEstate.kt
+++ b/scenarios/src/test/kotlin/org/buckthornwheel/scenarios/request/RequestEstate.kt
@@ -59,18 +59,37 @@
             zone("strait-north-a", "strait-north", hosts = 1, engines = 1, services = 0)
         }
 
+        /**
+         * Two zones whose hosts end at the latest [graceMilliseconds] after they announced that they are leaving.
+         *
+         * Only the first zone has an engine, and only the second one the service, to which the first one forwards.
+         */
+        fun withShortGrace(graceMilliseconds: Long): RequestEstate =
+            started(emptyList(), proxied = false, timeouts(graceMilliseconds)) {
+                zone("salish-south-a", "salish-south", hosts = 1, engines = 1, services = 0)
+                zone("strait-north-a", "strait-north", hosts = 1, engines = 0, services = 1)
+                serviceArguments = listOf("--work", "300")
+            }
+
         private fun started(
             additionalItems: List<EstateItem>,
             proxied: Boolean,
+            times: TimeoutSettings = timeouts(TimeoutSettings().shutdownGraceMilliseconds),
             zones: org.buckthornwheel.testing.EstateLayoutBuilder.() -> Unit,
         ): RequestEstate {
             val layout = estateLayout {
                 zones()
                 engineArguments = listOf("--token-interval", "10")
-                timeouts = TimeoutSettings(heartbeatIntervalMilliseconds = 250, betweenChunksMilliseconds = 1_500)
+                timeouts = times
             }
             return RequestEstate(LocalEstate.of(layout), proxied).also { it.start(additionalItems) }
         }
+
+        private fun timeouts(shutdownGraceMilliseconds: Long): TimeoutSettings = TimeoutSettings(
+            heartbeatIntervalMilliseconds = 250,
+            betweenChunksMilliseconds = 1_500,
+            shutdownGraceMilliseconds = shutdownGraceMilliseconds,
+        )
     }
 }
 
--- a/testing/src/main/kotlin/org/buckthornwheel/testing/EstateLayout.kt
+++ b/testing/src/main/kotlin/org/buckthornwheel/testing/EstateLayout.kt
@@ -26,6 +26,7 @@
     public val timeouts: TimeoutSettings,
     public val orders: OrderSettings,
     public val engineArguments: List<String>,
+    public val serviceArguments: List<String>,
 )
 
 /** Builds an [EstateLayout]; the default is two zones in different regions, with two hosts in the first zone. */
@@ -42,6 +43,9 @@
     /** Additional command-line arguments of every engine stand-in. */
     public var engineArguments: List<String> = emptyList()
 
+    /** Additional command-line arguments of every replica of the plain service. */
+    public var serviceArguments: List<String> = emptyList()
+
     /** Adds a zone. */
     public fun zone(name: String, region: String, hosts: Int = 1, engines: Int = 1, services: Int = 1) {
         zones += ZoneLayout(name, region, hosts, engines, services)
@@ -58,7 +62,14 @@
             zone("strait-north-a", "strait-north")
         }
         if (accounts.isEmpty()) account("halvorsen", "halvorsen-token", zones.first().region)
-        return EstateLayout(zones.toList(), accounts.toList(), timeouts, orders, engineArguments)
+        return EstateLayout(
+            zones.toList(),
+            accounts.toList(),
+            timeouts,
+            orders,
+            engineArguments,
+            serviceArguments,
+        )
     }
 }
 
--- a/testing/src/main/kotlin/org/buckthornwheel/testing/LocalEstate.kt
+++ b/testing/src/main/kotlin/org/buckthornwheel/testing/LocalEstate.kt
@@ -122,7 +122,7 @@
     public fun startService(target: LocalTarget): Unit = start(
         target.name,
         STAND_INS_MAIN_CLASS,
-        listOf("plain-service", "--port", "${target.address.port}", "--name", target.name),
+        listOf("plain-service", "--port", "${target.address.port}", "--name", target.name) + layout.serviceArguments,
     )
 
     /** Starts the daemon of [host]. */
