A connection ends after its last response also if that is written at once

Cause: the end of the write was awaited before the connection was marked as closing; a write that is complete by then runs its listener at once, which found nothing to close.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -189,12 +189,10 @@
 
     private fun end(written: io.netty.channel.ChannelFuture) {
         proxiedRequest = null
+        isClosing = !keepsAlive
         unwrittenResponses += 1
         written.addListener(ChannelFutureListener { onResponseWritten() })
-        if (!keepsAlive) {
-            isClosing = true
-            return
-        }
+        if (isClosing) return
         awaitRequest()
         // The next request is read in a later task of the event loop, so that responses do not nest.
         if (queue.isNotEmpty()) eventLoop.execute(::readQueue)
