--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/AcceptQueueTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/AcceptQueueTest.kt
@@ -1,37 +1,23 @@
 package org.buckthornwheel.forwarding.host
 
-import org.buckthornwheel.forwarding.fixture.RunningHost
-import org.buckthornwheel.forwarding.fixture.ScriptedReplica
-import org.buckthornwheel.forwarding.fixture.awaitUntil
-import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.buckthornwheel.forwarding.fixture.HostWithHeldReplica
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
-import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
 internal class AcceptQueueTest {
-    private val host = RunningHost()
-    private val release = CountDownLatch(1)
-    private val replica = ScriptedReplica { request ->
-        if (request.line.contains("/silent")) release.await()
-        send(signedResponse(request, body = "answer"))
-    }.also { host.add("r1", it) }
+    private val running = HostWithHeldReplica()
+    private val host = running.host
 
     @AfterEach
-    fun close() {
-        release.countDown()
-        replica.close()
-        host.close()
-    }
+    fun close(): Unit = running.close()
 
     /** Guards against established connections that were reset as the listener was closed. */
     @Test
     fun `requests on connections that were not accepted yet are answered when the listener is closed`() {
-        val held = host.caller()
-        held.request("POST", "/act/silent", "held", "question")
-        awaitUntil { replica.requests.isNotEmpty() }
+        val held = running.callerWithRequestInProgress()
         val stopping = thread { host.process.stop() }
         Thread.sleep(BUSY_AFTER_MILLISECONDS)
         host.process.loops.forEach { loop -> loop.execute { Thread.sleep(BUSY_MILLISECONDS) } }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/EndOfGracePeriodTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/EndOfGracePeriodTest.kt
@@ -4,11 +4,7 @@
 
 package org.buckthornwheel.forwarding.host
 
-import org.buckthornwheel.forwarding.fixture.RawCaller
-import org.buckthornwheel.forwarding.fixture.RunningHost
-import org.buckthornwheel.forwarding.fixture.ScriptedReplica
-import org.buckthornwheel.forwarding.fixture.awaitUntil
-import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.buckthornwheel.forwarding.fixture.HostWithHeldReplica
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -19,36 +15,18 @@
 import kotlin.concurrent.thread
 
 internal class EndOfGracePeriodTest {
-    private val host = RunningHost()
-    private val release = CountDownLatch(1)
-    private val replica = ScriptedReplica { request ->
-        if (request.line.contains("/silent")) release.await()
-        send(signedResponse(request, body = "answer"))
-    }.also { host.add("r1", it) }
+    private val running = HostWithHeldReplica()
+    private val host = running.host
 
     @AfterEach
-    fun close() {
-        release.countDown()
-        replica.close()
-        host.close()
-    }
-
-    /** Sends what [send] writes, and stops the host; the process would end when this function returns. */
-    private fun stopAfter(send: RawCaller.() -> Unit): RawCaller {
-        val caller = host.caller()
-        caller.send()
-        host.process.stop()
-        host.close()
-        return caller
-    }
+    fun close(): Unit = running.close()
 
     /** Guards against requests in progress that ended without an answer together with the process. */
     @Test
     fun `a request that a replica may have run gets 502 before the host ends`() {
-        val caller = stopAfter {
-            request("POST", "/act/silent", "q1", "question")
-            awaitUntil { replica.requests.isNotEmpty() }
-        }
+        val caller = running.callerWithRequestInProgress()
+        host.process.stop()
+        host.close()
         expectThat(caller.readResponse()).isNotNull().and {
             get { status }.isEqualTo(502)
             get { isComplete }.isEqualTo(true)
@@ -60,9 +38,7 @@
     /** Guards against a request that was still arriving when the host ended, and got no answer. */
     @Test
     fun `a request whose body is still arriving gets 503 before the host ends`() {
-        val held = host.caller()
-        held.request("POST", "/act/silent", "q1", "question")
-        awaitUntil { replica.requests.isNotEmpty() }
+        val held = running.callerWithRequestInProgress()
         val stopping = thread { host.process.stop() }
         Thread.sleep(ARRIVAL_MILLISECONDS)
         val caller = host.caller()
@@ -70,18 +46,19 @@
         stopping.join()
         host.close()
         expectThat(caller.readResponse()).isNotNull().get { status }.isEqualTo(503)
-        expectThat(replica.requests.size).isEqualTo(1)
+        expectThat(running.replica.requests.size).isEqualTo(1)
         held.close()
     }
 
     /** Guards against a host that waits without limit for a busy event loop, until the platform kills it. */
     @Test
     fun `the shutdown ends with the grace period while an event loop is blocked`() {
-        host.process.loops.forEach { loop -> loop.execute { release.await() } }
+        val blocked = CountDownLatch(1)
+        host.process.loops.forEach { loop -> loop.execute { blocked.await() } }
         val stopping = thread { host.process.stop() }
         stopping.join(2 * GRACE_MILLISECONDS)
         expectThat(stopping.isAlive).isEqualTo(false)
-        release.countDown()
+        blocked.countDown()
     }
 
     private companion object {
