A connection is read once more before it is closed as idle

What callers saw: a request that was sent on an open connection of a stopping host ended with the connection, unread, if the event loop was busy as the host closed idle connections.

Cause: idleness was judged by what the event loop had read. A busy loop runs the queued closing before it reads what has arrived. Ruled out: a request that arrives after the close; this one was sent up to 1.2 s before it.

Change: the connection is read in the same task that closes it, and stays open if that finds the begin of a request.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -137,9 +138,15 @@
 
     /** Closes the connection if it has been idle for [minimumIdle]; otherwise, its next response announces that. */
     fun drain(minimumIdle: Duration) {
-        if (isIdle && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle) context.close()
+        if (!hasBeenIdle(minimumIdle)) return
+        // A busy event loop may not have read a request yet that has arrived; closing would discard it.
+        (context.channel() as NioSocketChannel).unsafe().read()
+        if (hasBeenIdle(minimumIdle)) context.close()
     }
 
+    private fun hasBeenIdle(minimumIdle: Duration): Boolean =
+        isIdle && MonotonicClock.SYSTEM.now() - idleSince >= minimumIdle
+
     /** Called when the host itself ends: answers the request in progress or the one that is arriving. */
     fun onHostEnd() {
         if (isClosing || waiting != null) return
