Types of client accounts and the interface of their limits

Cause: accounts, limits and waiting are built side by side and need one agreed interface. Change: declarations only; nothing creates or reads an account yet.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.decision.account.AccountQuotas
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
@@ -25,6 +26,7 @@
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
+    val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
@@ -1,5 +1,6 @@
 package org.buckthornwheel.forwarding.exchange
 
+import org.buckthornwheel.api.AccountName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
@@ -13,6 +14,7 @@
  * @property routeName name of the route, for logs.
  * @property version version of the manifest that defines the route.
  * @property deadline the earlier of the caller's deadline and the time limit of the route.
+ * @property account the client account of the caller; null if the manifest declares none or the route needs none.
  * @property mayForward whether the request may be forwarded to another region; false if it came from another region.
  */
 internal data class RequestPolicy(
@@ -28,6 +30,7 @@
     val arrivedAt: MonotonicInstant,
     val deadline: MonotonicInstant,
     val mayForward: Boolean,
+    val account: AccountName? = null,
 ) {
     val isStreaming: Boolean get() = kind == RouteKind.STREAMING
 
