A stopping host does not announce the end of a connection in the head of a stream

Cause: the head of a stream promised the close while requests could still arrive behind the stream; they were read and dropped at its end. And a stream without a number of tokens was admitted late with the estimate of a short response, and broken off as the host ended. Change: the head of a stream announces nothing; the connection is closed once it is idle. A stream of unknown length that arrives after the directory's responses have expired is rejected at once, unless its deadline is before the end.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/shutdown/ShutdownAdmission.kt
@@ -28,15 +28,23 @@
  * @property targetLatency target for the time until the answer begins.
  * @property outputTokens maximum number of generated tokens; 0 for targets that are not engines.
  * @property remaining time left until the deadline of the request.
+ * @property isStream whether the response is a stream, whose length only its tokens limit.
  */
 public data class ShutdownRequest(
     public val targetLatency: Duration,
     public val outputTokens: Int,
     public val remaining: Duration,
+    public val isStream: Boolean = false,
 ) {
-    /** Upper estimate of the duration of the request under load, including its wait for a slot. */
+    /**
+     * Upper estimate of the duration of the request under load, including its wait for a slot. A stream without a
+     * number of tokens may last until its deadline.
+     */
     internal val longestDuration: Duration
-        get() = minOf(remaining, targetLatency * LATENCY_FACTOR + TIME_PER_TOKEN * outputTokens)
+        get() {
+            if (isStream && outputTokens == 0) return remaining
+            return minOf(remaining, targetLatency * LATENCY_FACTOR + TIME_PER_TOKEN * outputTokens)
+        }
 
     private companion object {
         /** An answer that begins later than this many target latencies is rare. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HostShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HostShutdown.kt
@@ -21,6 +21,10 @@
     /** Whether the host admits a request with [metadata] and [policy] that arrived at [now]. */
     fun admits(policy: RequestPolicy, metadata: RequestMetadata, now: MonotonicInstant): Boolean {
         val rules = admission ?: return true
-        return rules.admits(ShutdownRequest(policy.targetLatency, metadata.outputTokens, policy.deadline - now), now)
+        val remaining = policy.deadline - now
+        return rules.admits(
+            ShutdownRequest(policy.targetLatency, metadata.outputTokens, remaining, policy.isStreaming),
+            now,
+        )
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -167,7 +167,8 @@
 
     override fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
         if (isHttp10) keepsAlive = false else headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        setConnection(headers)
+        // A stopping host does not announce the end here, since requests may still arrive behind the stream.
+        if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         context.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
     }
 
