--- a/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
@@ -24,9 +24,9 @@
     private val ratioShare: Double,
     private val allowanceShare: Double,
 ) {
-    private class ServiceWindow {
-        val requests = ArrayDeque<MonotonicInstant>()
-        val retries = ArrayDeque<MonotonicInstant>()
+    private class ServiceWindow(window: Duration) {
+        val requests = EventWindow(window)
+        val retries = EventWindow(window)
     }
 
     private val lock = Any()
@@ -34,7 +34,7 @@
 
     /** Records a caller's request for [service]. */
     public fun recordRequest(service: ServiceName, now: MonotonicInstant): Unit = synchronized(lock) {
-        serviceWindow(service, now).requests.addLast(now)
+        serviceWindow(service).requests.add(now)
     }
 
     /**
@@ -43,23 +43,14 @@
      * @param hosts number of hosts that share the allowance; null if this host may take no part of it.
      */
     public fun tryWithdraw(service: ServiceName, hosts: Int?, now: MonotonicInstant): Boolean = synchronized(lock) {
-        val counted = serviceWindow(service, now)
-        val permittedByRatio = ratio * ratioShare * counted.requests.size
+        val counted = serviceWindow(service)
+        val permittedByRatio = ratio * ratioShare * counted.requests.count(now)
         val ownAllowance = hosts?.let { allowance * allowanceShare / maxOf(1, it) } ?: 0.0
         val permitted = permittedByRatio + ownAllowance
-        if (counted.retries.size + 1 > permitted) return false
-        counted.retries.addLast(now)
+        if (counted.retries.count(now) + 1 > permitted) return false
+        counted.retries.add(now)
         true
     }
 
-    private fun serviceWindow(service: ServiceName, now: MonotonicInstant): ServiceWindow {
-        val counted = windows.getOrPut(service) { ServiceWindow() }
-        removeExpired(counted.requests, now)
-        removeExpired(counted.retries, now)
-        return counted
-    }
-
-    private fun removeExpired(times: ArrayDeque<MonotonicInstant>, now: MonotonicInstant) {
-        while (times.isNotEmpty() && now - times.first() > window) times.removeFirst()
-    }
+    private fun serviceWindow(service: ServiceName): ServiceWindow = windows.getOrPut(service) { ServiceWindow(window) }
 }
