--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -1,5 +1,6 @@
 /*
- * The route configuration of the estate: the routes, the services that handle their requests, and the limits.
+ * The route configuration of the estate: the routes, the services that handle their requests, the client accounts, and
+ * the limits.
  *
  * A manifest is replaced as a whole and never changed in place.
  */
@@ -8,6 +9,7 @@
 
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.decision.account.ClientAccount
 import kotlin.time.Duration
 
 /** The version of a manifest; a higher version replaces a lower one. */
@@ -18,13 +20,23 @@
     override fun toString(): String = value.toString()
 }
 
-/** All routes and services that are in force at the same time. */
+/**
+ * All routes, services and client accounts that are in force at the same time.
+ *
+ * @property requiresAccounts whether callers must show the key of an account. It may do so without any usable account,
+ *   so that a fault in the accounts does not open the routes to everyone.
+ */
 public data class Manifest(
     public val version: ManifestVersion,
     public val routes: List<Route>,
     public val services: Map<ServiceName, ServiceDefinition>,
     public val limits: CallerLimits,
+    public val accounts: List<ClientAccount> = emptyList(),
+    public val requiresAccounts: Boolean = accounts.isNotEmpty(),
 ) {
+    /** Priorities of the requests of [accounts]. */
+    public val accountPriorities: AccountPriorities = AccountPriorities(accounts, routes)
+
     private val routesByHost: Map<String, List<Route>> =
         routes.groupBy { it.hostName }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
 
@@ -52,6 +64,7 @@
  * @property maximumAttempts maximum number of replicas to which one request is sent.
  * @property isResumable whether another replica may continue a broken stream.
  * @property homeRegions the regions that may serve it; empty if all may.
+ * @property isPublic whether callers need no account.
  */
 public data class Route(
     public val name: String,
@@ -65,6 +78,7 @@
     public val maximumAttempts: Int,
     public val isResumable: Boolean,
     public val homeRegions: Set<RegionName>,
+    public val isPublic: Boolean = false,
 ) {
     /** Whether a request of the route may be executed more than once. */
     public val isRepeatable: Boolean
