--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/EntryHostSnapshot.kt
@@ -10,6 +10,7 @@
  * @property isReady whether it is ready for callers.
  * @property isDeclining whether it announced recently that it is not ready, as a stopping host does.
  * @property isRegistered whether it is registered in the store, as far as this host has learned.
+ * @property refusesAccounts whether it rejects requests of client accounts.
  */
 internal data class EntryHostStatus(
     val host: EntryHostProfile,
@@ -17,6 +18,7 @@
     val isReady: Boolean,
     val isDeclining: Boolean,
     val isRegistered: Boolean,
+    val refusesAccounts: Boolean = false,
 ) {
     /**
      * Whether the host may be working, even if it cannot be heard.
@@ -42,6 +44,10 @@
     val possiblyAlive: List<EntryHostProfile>,
     self: EntryHostProfile,
 ) {
+    /** The ready hosts that accept requests of client accounts. */
+    val accepting: List<EntryHostProfile> =
+        known.filter { it.isReady && !it.refusesAccounts }.map { it.host }
+
     /** The other regions that have a host to which requests may be forwarded. */
     val reachableRegions: Set<RegionName> = forwardingTargets.mapTo(HashSet()) { it.region }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -25,6 +25,7 @@
         val isReady: Boolean,
         val aliveFor: Duration,
         var isRegistered: Boolean,
+        val refusesAccounts: Boolean = false,
     )
 
     private val lock = Any()
@@ -58,6 +59,7 @@
     /**
      * Records a heartbeat of [host], which will send the next one after [interval].
      *
+     * @param refusesAccounts whether the host rejects requests of client accounts.
      * @return whether the host was not alive before.
      */
     public fun recordHeartbeat(
@@ -65,14 +67,16 @@
         isReady: Boolean,
         interval: Duration,
         now: MonotonicInstant,
+        refusesAccounts: Boolean = false,
     ): Boolean = synchronized(lock) {
         if (host.name == self.name) return false
         val present = known[host.name]
         if (present != null && present.host.incarnation > host.incarnation) return false
         val wasAlive = present != null && isAlive(present, now)
         val aliveFor = maxOf(MINIMUM_DEAD_AFTER, interval * MISSED_HEARTBEATS)
-        known[host.name] = Entry(host, now, isReady, aliveFor, isRegistered = present?.isRegistered ?: false)
-        if (!wasAlive || present.isReady != isReady) snapshot = null
+        known[host.name] =
+            Entry(host, now, isReady, aliveFor, isRegistered = present?.isRegistered ?: false, refusesAccounts)
+        if (!wasAlive || present.isReady != isReady || present.refusesAccounts != refusesAccounts) snapshot = null
         !wasAlive
     }
 
@@ -95,6 +99,9 @@
     /** Hosts that are alive and ready at [now]. */
     public fun ready(now: MonotonicInstant): List<EntryHostProfile> = snapshot(now).ready
 
+    /** Whether another host that is alive and ready accepts requests of client accounts. */
+    public fun hasAcceptingHost(now: MonotonicInstant): Boolean = snapshot(now).accepting.isNotEmpty()
+
     /** The hosts of [region] to which requests are forwarded. */
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHostProfile> =
         snapshot(now).forwardingTargets.filter { it.region == region }
@@ -129,10 +136,12 @@
         1 + snapshot(now).possiblyAlive.count { region == null || it.region == region }
 
     /**
-     * The hosts that a caller in [zone] of [region] should use.
+     * The hosts that a caller in [zone] of [region] should use. Hosts that reject requests of client accounts are named
+     * only if all ready hosts do.
      *
      * @param homes the regions to which all routes of the caller are restricted; empty without a restriction.
      * @param selfReady whether this host itself serves callers.
+     * @param selfRefusesAccounts whether this host itself rejects requests of client accounts.
      */
     public fun hostsForCaller(
         zone: ZoneName?,
@@ -140,8 +149,11 @@
         homes: Set<RegionName>,
         selfReady: Boolean,
         now: MonotonicInstant,
+        selfRefusesAccounts: Boolean = false,
     ): List<EntryHostProfile> {
-        val usable = if (selfReady) ready(now) + self else ready(now)
+        val current = snapshot(now)
+        val accepting = if (selfReady && !selfRefusesAccounts) current.accepting + self else current.accepting
+        val usable = accepting.ifEmpty { if (selfReady) current.ready + self else current.ready }
         val preferences = listOf<(EntryHostProfile) -> Boolean>(
             { it.zone == zone },
             { it.region == region },
@@ -165,7 +177,8 @@
     private fun statusAt(entry: Entry, now: MonotonicInstant): EntryHostStatus {
         val isHeard = isHeardAt(entry, now)
         val isDeclining = isHeard && !entry.isReady
-        return EntryHostStatus(entry.host, isHeard, isReadyAt(entry, now), isDeclining, entry.isRegistered)
+        val isReady = isReadyAt(entry, now)
+        return EntryHostStatus(entry.host, isHeard, isReady, isDeclining, entry.isRegistered, entry.refusesAccounts)
     }
 
     private fun isHeardAt(entry: Entry, now: MonotonicInstant): Boolean =
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/KnownEntryHostsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/KnownEntryHostsTest.kt
@@ -53,6 +53,26 @@
     private fun names(zone: String, region: String, homes: Set<RegionName> = emptySet(), selfReady: Boolean = true) =
         hosts.hostsForCaller(ZoneName(zone), RegionName(region), homes, selfReady, now).map { it.name.value }
 
+    @Test
+    fun `a host that rejects client accounts is named only if all ready hosts do`() {
+        val peer = host("peer", "north")
+        val far = host("far", "south")
+        hosts.recordHeartbeat(peer, isReady = true, 250.milliseconds, now, refusesAccounts = true)
+        hosts.recordHeartbeat(far, isReady = true, 250.milliseconds, now, refusesAccounts = false)
+        fun names(selfRefuses: Boolean) =
+            hosts.hostsForCaller(peer.zone, peer.region, emptySet(), selfReady = true, now, selfRefuses).map {
+                it.name.value
+            }
+        expectThat(names(selfRefuses = false)).containsExactly("self")
+        expectThat(names(selfRefuses = true)).containsExactly("far")
+        expectThat(hosts.hasAcceptingHost(now)).isTrue()
+        hosts.recordHeartbeat(far, isReady = true, 250.milliseconds, now, refusesAccounts = true)
+        expectThat(names(selfRefuses = true)).containsExactlyInAnyOrder("self", "peer")
+        expectThat(hosts.hasAcceptingHost(now)).isFalse()
+        hosts.recordHeartbeat(peer, isReady = true, 250.milliseconds, now, refusesAccounts = false)
+        expectThat(names(selfRefuses = true)).containsExactly("peer")
+    }
+
     @Test
     fun `a registered host is named only after its first heartbeat`() {
         hosts.addRegistered(host("peer", "north"))
