Keys of client accounts are checked, kept from replicas and other hosts, and stop when revoked

Change: CallerAuthentication after route selection: public routes need no key; keys not shown to be current 503, unknown key 401, no common home 503, over the limit 429. The replica gets the account's name in place of the key; another host gets it in the envelope. What a request that was not run took of its limit is given back once. Heartbeat label 7 tells that a host rejects accounts. Without accounts in the manifest, headers are forwarded as before.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -8,8 +8,10 @@
 package org.buckthornwheel.forwarding.dialect
 
 import io.netty.handler.codec.http.HttpHeaders
+import org.buckthornwheel.api.AccountName
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.api.RequestId
+import org.buckthornwheel.decision.account.AccountKey
 import org.buckthornwheel.decision.replica.PromptPart
 import org.buckthornwheel.decision.replica.ReplicaId
 import kotlin.time.Duration
@@ -23,6 +25,7 @@
  * @property outputTokens maximum number of tokens to generate.
  * @property expectedOutputTokens the caller's estimate of the number of generated tokens; null if it is not given.
  * @property parts parts of the prompt, in order.
+ * @property hasTokenCounts whether the caller gave the numbers of prompt and output tokens.
  */
 public data class RequestMetadata(
     public val id: RequestId,
@@ -31,7 +34,11 @@
     public val outputTokens: Int,
     public val expectedOutputTokens: Int?,
     public val parts: List<PromptPart>,
-)
+    public val hasTokenCounts: Boolean = false,
+) {
+    /** Tokens that the request may use altogether; null if the caller did not say. */
+    public val usedTokens: Long? get() = if (hasTokenCounts) promptTokens.toLong() + outputTokens else null
+}
 
 /**
  * Metadata that the gateway sends to a replica with a request.
@@ -72,6 +79,12 @@
     /** Removes the headers that only the gateway may set from [headers], and sets them from [metadata]. */
     public fun writeRequest(headers: HttpHeaders, metadata: ReplicaRequestMetadata)
 
+    /** The account key in a caller's [headers]; null unless there is exactly one. */
+    public fun readAccountKey(headers: HttpHeaders): AccountKey?
+
+    /** Removes account keys and account names from [headers], and sets the name of [account] unless it is null. */
+    public fun writeAccount(headers: HttpHeaders, account: AccountName?)
+
     /** The metadata in the [headers] of a replica's response with [status]. */
     public fun readResponse(status: Int, headers: HttpHeaders): ResponseMetadata
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -12,6 +12,7 @@
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.forwarding.dialect.RequestDialect
+import org.buckthornwheel.forwarding.host.ManifestCurrency
 import org.buckthornwheel.forwarding.host.RoutingState
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
@@ -26,6 +27,7 @@
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
+    val currency: ManifestCurrency,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
+import org.buckthornwheel.api.AccountName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
@@ -32,7 +33,12 @@
     HOST_STOPPING("host-stopping"),
 }
 
-/** The policy of a request that is forwarded to another region; times are in milliseconds. */
+/**
+ * The policy of a request that is forwarded to another region; times are in milliseconds.
+ *
+ * @property account the client account for which the first host accepted the request. It is trusted: hosts remove the
+ *   envelope that a caller sends, and only hosts reach the listener that reads it.
+ */
 @Serializable
 internal data class PeerEnvelope(
     val routeName: String,
@@ -45,9 +51,13 @@
     val maximumAttempts: Int,
     val homeRegions: Set<RegionName>,
     val remainingMilliseconds: Long,
+    val account: AccountName? = null,
 ) {
-    /** The policy of the request on the receiving host, which must not forward it again. */
-    fun policy(now: MonotonicInstant): RequestPolicy = RequestPolicy(
+    /**
+     * The policy of the request on the receiving host, which must not forward it again; [hasAccounts] is whether that
+     * host knows of client accounts.
+     */
+    fun policy(now: MonotonicInstant, hasAccounts: Boolean = false): RequestPolicy = RequestPolicy(
         routeName = routeName,
         version = ManifestVersion(version),
         service = service,
@@ -60,6 +70,8 @@
         arrivedAt = now,
         deadline = now + remainingMilliseconds.milliseconds,
         mayForward = false,
+        account = account,
+        hasAccounts = hasAccounts || account != null,
     )
 
     /** Encoding and decoding. */
@@ -68,6 +80,9 @@
         private const val HEADER = "Gateway-Envelope"
         private const val OUTCOME_HEADER = "Gateway-Outcome"
 
+        /** Ignores fields of later builds. */
+        private val CODEC = Cbor { ignoreUnknownKeys = true }
+
         /** The envelope for the remaining time and attempts of a request with the given [policy]. */
         fun of(policy: RequestPolicy, attemptsLeft: Int, now: MonotonicInstant): PeerEnvelope = PeerEnvelope(
             routeName = policy.routeName,
@@ -80,10 +95,11 @@
             maximumAttempts = attemptsLeft,
             homeRegions = policy.homeRegions,
             remainingMilliseconds = (policy.deadline - now).inWholeMilliseconds,
+            account = policy.account,
         )
 
         fun write(headers: HttpHeaders, envelope: PeerEnvelope) {
-            headers.set(HEADER, Base64.getUrlEncoder().encodeToString(Cbor.encodeToByteArray(envelope)))
+            headers.set(HEADER, Base64.getUrlEncoder().encodeToString(CODEC.encodeToByteArray(envelope)))
         }
 
         /** Whether a request with [headers] was forwarded; only hosts set the header. */
@@ -94,7 +110,7 @@
             val text = headers.get(HEADER) ?: return null
             headers.remove(HEADER)
             return try {
-                Cbor.decodeFromByteArray<PeerEnvelope>(Base64.getUrlDecoder().decode(text))
+                CODEC.decodeFromByteArray<PeerEnvelope>(Base64.getUrlDecoder().decode(text))
             } catch (_: IllegalArgumentException) {
                 null
             } catch (_: IndexOutOfBoundsException) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -32,12 +32,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 
-/** A complete request as it was read from the connection, with its policy. */
+/** A complete request as it was read from the connection, with its policy and what it took of its account's limit. */
 internal class ReceivedRequest(
     val head: HttpRequest,
     val body: ByteBuf,
     val metadata: RequestMetadata,
     val policy: RequestPolicy,
+    val charge: QuotaCharge? = null,
 )
 
 /** One request on its way through the gateway; [sink] receives the response. */
@@ -148,7 +149,7 @@
         context.meters.forwarded()
         val sent = PeerAttempt(context, this, host, now)
         attempt = sent
-        sent.start(pool, RequestHeaders.forPeer(request, envelope, stream.lastEventId), request)
+        sent.start(pool, RequestHeaders.forPeer(context, request, envelope, stream.lastEventId), request)
     }
 
     private fun spendRetryBudget(now: MonotonicInstant): Boolean = context.retries.tryWithdraw(policy.service, now)
@@ -325,11 +326,14 @@
         deadlineTimer?.cancel(false)
         placementTimer?.cancel(false)
         request.body.release()
-        val took = context.clock.now() - policy.arrivedAt
+        val now = context.clock.now()
+        if (!history.mayHaveRun) request.charge?.giveBack(now)
+        val took = now - policy.arrivedAt
         context.meters.recordResponse(status, took)
         context.log.write(LogPart.REQUEST, "answered") {
             put("request", metadata.id.value)
             put("route", policy.routeName)
+            policy.account?.let { put("account", it.value) }
             put("manifest", policy.version.value)
             put("status", status)
             put("reason", reason)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
@@ -28,11 +28,19 @@
             decision.fetchFrom?.address,
         )
         context.dialect.writeRequest(headers, metadata)
+        if (request.policy.hasAccounts) context.dialect.writeAccount(headers, request.policy.account)
         return headers
     }
 
-    fun forPeer(request: ReceivedRequest, envelope: PeerEnvelope, lastEventId: String?): HttpHeaders {
+    /** The account goes with the envelope; its key stays at this host. */
+    fun forPeer(
+        context: ForwardingContext,
+        request: ReceivedRequest,
+        envelope: PeerEnvelope,
+        lastEventId: String?,
+    ): HttpHeaders {
         val headers = common(request, lastEventId)
+        if (request.policy.hasAccounts) context.dialect.writeAccount(headers, account = null)
         PeerEnvelope.write(headers, envelope)
         return headers
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
@@ -15,6 +15,8 @@
  * @property version version of the manifest that defines the route.
  * @property deadline the earlier of the caller's deadline and the time limit of the route.
  * @property account the client account of the caller; null if the manifest declares none or the route needs none.
+ * @property hasAccounts whether the manifest declares client accounts, so that keys and account names in the caller's
+ *   headers are not for the replica. Without accounts, they are headers like any others.
  * @property mayForward whether the request may be forwarded to another region; false if it came from another region.
  */
 internal data class RequestPolicy(
@@ -31,6 +33,7 @@
     val deadline: MonotonicInstant,
     val mayForward: Boolean,
     val account: AccountName? = null,
+    val hasAccounts: Boolean = account != null,
 ) {
     val isStreaming: Boolean get() = kind == RouteKind.STREAMING
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -4,13 +4,9 @@
 
 package org.buckthornwheel.forwarding.front
 
-import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.manifest.Manifest
 import org.buckthornwheel.decision.manifest.Route
@@ -22,7 +18,6 @@
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
 import org.buckthornwheel.forwarding.exchange.ReceivedRequest
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
-import org.buckthornwheel.forwarding.observability.LogPart
 import java.util.concurrent.ThreadLocalRandom
 
 /** Starts the requests of callers, with the policy of their route. */
@@ -31,19 +26,30 @@
     private val pool: TargetPool,
     private val startup: StartupAdmission,
 ) : RequestStarter {
-    override fun mustWait(): Boolean = context.routingState.manifest == null && !context.shutdown.hasBegun &&
-        startup.mayWait(context.clock.now())
+    private val authentication = CallerAuthentication(context)
+
+    override fun mustWait(): Boolean {
+        val isIncomplete = context.routingState.manifest == null || context.currency.refusesAccounts
+        return isIncomplete && !context.shutdown.hasBegun && startup.mayWait(context.clock.now())
+    }
 
     override fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest? {
         val head = request.head
         val rejection = RequestRejection(context, request.body, connection)
         val metadata = context.dialect.readRequest(head.headers())
             ?: return rejection.send(HttpResponseStatus.BAD_REQUEST, "missing request identifier", null)
-        val manifest = context.routingState.manifest
+        val current = context.routingState.current
             ?: return rejection.send(HttpResponseStatus.SERVICE_UNAVAILABLE, "no manifest yet", metadata)
-        val route = route(manifest, head, metadata, rejection) ?: return null
-        val received = ReceivedRequest(head, request.body, metadata, policy(manifest, route, metadata, request.at))
-        return ProxiedRequest(context, pool, connection.eventLoop, received, connection)
+        val route = route(current.manifest, head, metadata, rejection) ?: return null
+        val now = context.clock.now()
+        return when (val result = authentication.authenticate(current, route, head.headers(), metadata, now)) {
+            is Authentication.Rejected -> rejection.send(result, metadata)
+            is Authentication.Accepted -> {
+                val policy = policy(current.manifest, route, metadata, result, request.at)
+                val received = ReceivedRequest(head, request.body, metadata, policy, result.charge)
+                ProxiedRequest(context, pool, connection.eventLoop, received, connection)
+            }
+        }
     }
 
     /** The route of the request; null if the request was rejected. */
@@ -71,6 +77,7 @@
         manifest: Manifest,
         route: Route,
         metadata: RequestMetadata,
+        caller: Authentication.Accepted,
         arrivedAt: MonotonicInstant,
     ): RequestPolicy {
         val limit = metadata.remaining?.let { minOf(it, route.timeout) } ?: route.timeout
@@ -80,13 +87,15 @@
             service = route.service(ThreadLocalRandom.current().nextDouble()),
             kind = route.kind,
             isResumable = route.isResumable,
-            priority = route.priority,
+            priority = caller.account?.let { manifest.accountPriorities.of(it, route) } ?: route.priority,
             targetLatency = route.targetLatency,
             maximumAttempts = maxOf(1, route.maximumAttempts),
-            homeRegions = route.homeRegions,
+            homeRegions = caller.homeRegions,
             arrivedAt = arrivedAt,
             deadline = arrivedAt + limit,
             mayForward = true,
+            account = caller.account?.name,
+            hasAccounts = manifest.requiresAccounts,
         )
     }
 }
@@ -104,35 +113,8 @@
         if (envelope == null || metadata == null) {
             return rejection.send(HttpResponseStatus.BAD_REQUEST, "missing or invalid envelope", metadata)
         }
-        val received = ReceivedRequest(head, request.body, metadata, envelope.policy(request.at))
+        val hasAccounts = context.routingState.manifest?.requiresAccounts ?: false
+        val received = ReceivedRequest(head, request.body, metadata, envelope.policy(request.at, hasAccounts))
         return ProxiedRequest(context, pool, connection.eventLoop, received, connection)
     }
 }
-
-/** Rejects a request that cannot be proxied. */
-private class RequestRejection(
-    private val context: ForwardingContext,
-    private val body: ByteBuf,
-    private val connection: InboundConnection,
-) {
-    fun send(status: HttpResponseStatus, reason: String, metadata: RequestMetadata?): ProxiedRequest? {
-        body.release()
-        val headers = DefaultHttpHeaders()
-        metadata?.let { context.dialect.writeGatewayResponse(headers, it.id) }
-        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, STARTUP_RETRY_AFTER_SECONDS)
-        }
-        context.log.write(LogPart.REQUEST, "answered") {
-            put("request", metadata?.id?.value)
-            put("status", status.code())
-            put("reason", reason)
-        }
-        connection.respond(status, headers, Unpooled.EMPTY_BUFFER)
-        return null
-    }
-
-    private companion object {
-        /** A host that has just started has a manifest after 0.04 to 0.35 s on the users' bench. */
-        const val STARTUP_RETRY_AFTER_SECONDS = "0.2"
-    }
-}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryDirectory.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryDirectory.kt
@@ -11,11 +11,12 @@
     private val hosts: KnownEntryHosts,
     private val routingState: RoutingState,
     private val isReady: () -> Boolean,
+    private val currency: ManifestCurrency,
     private val clock: MonotonicClock,
 ) {
     /** Addresses for a caller in [zone] and [region] that resolves [hostName]; empty if no host is ready. */
     public fun addresses(hostName: String, zone: ZoneName?, region: RegionName?): List<NetworkAddress> =
-        hosts.hostsForCaller(zone, region, homeRegions(hostName), isReady(), clock.now())
+        hosts.hostsForCaller(zone, region, homeRegions(hostName), isReady(), clock.now(), currency.refusesAccounts)
             .map { it.callerAddress }
             .take(MAXIMUM_ADDRESSES)
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -74,6 +74,9 @@
     /** The manifest and closed zones, kept up to date by the deployment's adapter. */
     public val routingState: RoutingState = RoutingState(clock)
 
+    /** Whether the account keys of the manifest are current; the adapter reports its reads of the store to it. */
+    public val currency: ManifestCurrency = ManifestCurrency(settings.revocationBound, routingState, clock)
+
     /** The other entry hosts; the adapter adds the registered ones. */
     public val hosts: KnownEntryHosts = KnownEntryHosts(settings.self)
 
@@ -123,6 +126,7 @@
         observability = Observability(log, meters),
         shutdown = shutdown,
         clock = clock,
+        currency = currency,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerConnections = InboundConnections(shutdown)
@@ -135,7 +139,7 @@
         replicas,
         reads,
         settings.seedAddresses,
-        LocalHostState({ isReady }, { estate }, quarantineSharing),
+        LocalHostState({ isReady }, { estate }, quarantineSharing, currency::refusesAccounts),
         log,
         clock,
     )
@@ -185,7 +189,7 @@
     public fun quarantineRecorded(part: String, age: Duration): Unit =
         quarantineSharing.addRecorded(part, age, clock.now())
 
-    private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
+    private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, currency, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
         pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened) }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -15,6 +15,7 @@
  * @property settlingTime time after the start within which the host and the other hosts get to know each other; it
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
+ * @property revocationBound time within which a removed account key must stop working on all hosts; null for none.
  */
 public data class EntryHostSettings(
     public val self: EntryHostProfile,
@@ -29,4 +30,5 @@
     public val shutdownGrace: Duration,
     public val directoryTimeToLive: Duration,
     public val settlingTime: Duration,
+    public val revocationBound: Duration? = null,
 )
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
@@ -0,0 +1,40 @@
+package org.buckthornwheel.forwarding.host
+
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.decision.account.ClockReading
+import org.buckthornwheel.decision.account.RevocationGuard
+import kotlin.time.Duration
+
+/**
+ * Whether this host can show that its manifest is current, so that no key is accepted long after it was removed.
+ *
+ * @param bound time within which a removed key must stop working; null if the deployment states none.
+ */
+public class ManifestCurrency internal constructor(
+    bound: Duration?,
+    private val routingState: RoutingState,
+    private val clock: MonotonicClock,
+    private val unixMilliseconds: () -> Long = System::currentTimeMillis,
+) {
+    private val guard = bound?.let(::RevocationGuard)
+
+    /** Time within which a removed key must stop working, if the manifest in force has keys; null otherwise. */
+    public val bound: Duration?
+        get() = guard?.bound?.takeIf { routingState.manifest?.requiresAccounts == true }
+
+    /** Whether requests of client accounts are rejected, since keys may have been removed meanwhile. */
+    public val refusesAccounts: Boolean get() = bound != null && guard?.isOpen(reading()) == false
+
+    /** Records that a read of the store is sent now. */
+    public fun readSent(): StoreRead = StoreRead(guard?.readSent(reading()))
+
+    /** A read of the store that was sent. */
+    public inner class StoreRead internal constructor(private val read: RevocationGuard.Read?) {
+        /** Records that the read was answered and that what it brought is in force. */
+        public fun applied() {
+            read?.let { guard?.readApplied(it) }
+        }
+    }
+
+    private fun reading() = ClockReading(clock.now(), unixMilliseconds())
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -29,11 +29,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** What the heartbeats of this host report: whether it serves callers, its estate revision, and the quarantine. */
+/**
+ * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision, and the
+ * quarantine.
+ */
 internal class LocalHostState(
     val isReady: () -> Boolean,
     val estate: () -> EstateSync,
     val quarantine: QuarantineSharing,
+    val refusesAccounts: () -> Boolean,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -115,6 +119,7 @@
         activity,
         local.estate().revision,
         quarantineMessage,
+        local.refusesAccounts(),
     )
 
     private fun write(address: NetworkAddress, heartbeat: Heartbeat) {
@@ -139,6 +144,7 @@
                 heartbeat.isReady,
                 heartbeat.intervalMilliseconds.milliseconds,
                 now,
+                heartbeat.refusesAccounts,
             )
         ) {
             log.write(LogPart.MEMBERSHIP, "host alive") {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -35,6 +35,9 @@
     /** Counts a request that was rejected because of a quarantined prompt part. */
     internal fun quarantined(): Unit = meters.quarantined.increment()
 
+    /** Counts a request that was rejected because of its client account. */
+    internal fun accountRejected(reason: AccountRejection): Unit = meters.accountRejections.getValue(reason).increment()
+
     /** Counts a request forwarded to another region. */
     internal fun forwarded(): Unit = meters.forwards.increment()
 
@@ -55,6 +58,9 @@
     val quarantined = counter("buckthornwheel.quarantine.rejections")
     val repeats = counter("buckthornwheel.target.repeats")
     val forwards = counter("buckthornwheel.peer.forwards")
+    val accountRejections: Map<AccountRejection, Counter> = AccountRejection.entries.associateWith {
+        Counter.builder("buckthornwheel.account.rejections").tag("reason", it.label).register(registry)
+    }
     private val responseTimers = HashMap<Int, Timer>()
 
     init {
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
@@ -56,7 +56,19 @@
         expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
     }
 
-    /** A heartbeat as the previous build defines it. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Test
+    fun `a host of the build without client accounts reads a heartbeat that rejects them`() {
+        val codec = Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
+        val read = codec.decodeFromByteArray<PreviousHeartbeat>(brief.copy(refusesAccounts = true).encode())
+        expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
+        expectThat(brief.copy(refusesAccounts = true).encode().size).isLessThanOrEqualTo(150)
+    }
+
+    /** A heartbeat as the build before quarantine and accounts defines it. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     internal data class PreviousHeartbeat(
