ProxiedRequest split by jobs: the caller's response and the placement step

Change: CallerResponse sends, relays and finishes; PlacementStep chooses targets and prepares attempts; no behaviour changes. finish() stands in CallerResponse now. Measured: FailingReplicaTest, PeerForwardingTest, StreamRelayTest, ShutdownTest pass.

--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -0,0 +1,80 @@
+package org.buckthornwheel.forwarding.exchange
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.placement.PlacementDecision
+import org.buckthornwheel.decision.placement.PlacementRequest
+import org.buckthornwheel.forwarding.connection.TargetPool
+import kotlin.time.Duration
+
+/** Result of one placement of a request. */
+internal sealed interface PlacementResult {
+    /** The request goes to a target; [start] sends it. */
+    class Attempting(val attempt: Attempt, val start: () -> Unit) : PlacementResult
+
+    /** No target has a place; the first one is expected after [wait], or it is unknown when. */
+    class NoPlace(val wait: Duration?) : PlacementResult
+
+    /** A place exists, but the request must not be sent once more. */
+    data object RetryBudgetExhausted : PlacementResult
+}
+
+/** Chooses the target of each attempt of [proxiedRequest] and prepares the attempt. */
+internal class PlacementStep(
+    private val context: ForwardingContext,
+    private val pool: TargetPool,
+    private val request: ReceivedRequest,
+    private val history: AttemptHistory,
+    private val proxiedRequest: ProxiedRequest,
+) {
+    private val policy = request.policy
+    private val lastEventId: String? get() = proxiedRequest.response.lastEventId
+
+    fun next(now: MonotonicInstant): PlacementResult {
+        val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
+        return when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
+            is PlacementDecision.Local -> toReplica(decision, now)
+            is PlacementDecision.Forward -> toRegion(decision, now)
+            is PlacementDecision.Full -> PlacementResult.NoPlace(decision.wait)
+            PlacementDecision.NoReplica -> PlacementResult.NoPlace(wait = null)
+        }
+    }
+
+    private fun placementRequest(now: MonotonicInstant): PlacementRequest = PlacementRequest(
+        service = policy.service,
+        promptTokens = request.metadata.promptTokens,
+        outputTokens = request.metadata.expectedOutputTokens ?: request.metadata.outputTokens,
+        parts = request.metadata.parts,
+        priority = policy.priority,
+        targetLatency = policy.targetLatency,
+        remaining = policy.deadline - now,
+        homeRegions = policy.homeRegions,
+        excluded = history.excludedReplicas,
+        closedZones = context.routingState.closedZones,
+        mayForward = policy.mayForward && !proxiedRequest.quarantine.isProbe,
+        isUrgent = policy.priority == 0,
+    )
+
+    private fun toReplica(decision: PlacementDecision.Local, now: MonotonicInstant): PlacementResult {
+        val state = context.replicas.find(decision.replica.id) ?: return next(now)
+        if (history.count > 0 && !context.retries.tryWithdraw(policy.service, now)) {
+            return PlacementResult.RetryBudgetExhausted
+        }
+        val attempt = ReplicaAttempt(context, proxiedRequest, state, decision, now)
+        return PlacementResult.Attempting(attempt) {
+            val headers = RequestHeaders.forReplica(context, request, decision, policy.deadline - now, lastEventId)
+            attempt.start(pool, headers, request, lastEventId)
+        }
+    }
+
+    private fun toRegion(decision: PlacementDecision.Forward, now: MonotonicInstant): PlacementResult {
+        val reachable = context.hosts.primaries(decision.region, now).filter(history::permits)
+        val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
+        if (host == null) return PlacementResult.NoPlace(wait = null)
+        context.meters.forwarded()
+        val attempt = PeerAttempt(context, proxiedRequest, host, now)
+        return PlacementResult.Attempting(attempt) {
+            val envelope = PeerEnvelope.of(policy, history.remaining, now)
+            attempt.start(pool, RequestHeaders.forPeer(request, envelope, lastEventId), request)
+        }
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -31,7 +31,8 @@
 }
 
 /** Relays the response with the given [head] to the caller of [proxiedRequest]. */
-internal class ResponseRelay(private val proxiedRequest: ProxiedRequest, head: HttpResponse) {
+internal class ResponseRelay(proxiedRequest: ProxiedRequest, head: HttpResponse) {
+    private val response = proxiedRequest.response
     val status: HttpResponseStatus = head.status()
     private val headers: HttpHeaders = head.headers().copy().also(HopByHopHeaders::strip)
     private val isStream = proxiedRequest.policy.isStreaming && status.code() == HttpResponseStatus.OK.code()
@@ -47,11 +48,11 @@
         if (isStream) return addEvents(content)
         val body = buffered
         if (body == null) {
-            proxiedRequest.streamBytes(content)
+            response.streamBytes(content)
             return RelayResult.USABLE
         }
         body.addComponent(true, content)
-        if (body.readableBytes() <= MAXIMUM_BUFFERED_BYTES || proxiedRequest.hasBegunStream) return RelayResult.USABLE
+        if (body.readableBytes() <= MAXIMUM_BUFFERED_BYTES || response.hasBegunStream) return RelayResult.USABLE
         if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
         streamBuffered(body)
         return RelayResult.USABLE
@@ -64,10 +65,10 @@
     fun complete() {
         if (isStream) return completeStream()
         val body = buffered
-        if (body == null) return proxiedRequest.endStream(status.code())
+        if (body == null) return response.endStream(status.code())
         buffered = null
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        proxiedRequest.respond(status, headers, body)
+        response.respond(status, headers, body)
     }
 
     /** Releases the buffered body and the incomplete event. */
@@ -81,7 +82,7 @@
         val events = eventParser.add(content)
         for (event in events) {
             begin()
-            proxiedRequest.streamEvent(event)
+            response.streamEvent(event)
         }
         return when {
             eventParser.isEventTooLong -> RelayResult.TOO_LONG
@@ -92,21 +93,21 @@
 
     private fun completeStream() {
         begin()
-        proxiedRequest.streamBytes(eventParser.takeRemainder())
-        proxiedRequest.endStream(status.code())
+        response.streamBytes(eventParser.takeRemainder())
+        response.endStream(status.code())
     }
 
     private fun streamBuffered(body: ByteBuf) {
         begin()
         buffered = null
-        proxiedRequest.streamBytes(body)
+        response.streamBytes(body)
     }
 
     private fun begin() {
         if (hasBegun) return
         hasBegun = true
         headers.remove(HttpHeaderNames.CONTENT_LENGTH)
-        proxiedRequest.beginStream(status, headers)
+        response.beginStream(status, headers)
     }
 
     private companion object {
