--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -19,6 +19,9 @@
 
 /** Tracks the known entry hosts other than [self]. */
 public class KnownEntryHosts(private val self: EntryHostProfile) {
+    /** The region of this host. */
+    public val region: RegionName get() = self.region
+
     private class Entry(
         var host: EntryHostProfile,
         val heardAt: MonotonicInstant?,
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -15,6 +15,16 @@
     @Volatile
     private var byService: Map<ServiceName, List<ReplicaState>> = emptyMap()
 
+    /** Whether a replica has reported that other work on its machine slows it down at times. */
+    @Volatile
+    public var shareMachines: Boolean = false
+        private set
+
+    /** Records that a replica has reported that it shares its machine with other work. */
+    public fun recordSharedMachine() {
+        if (!shareMachines) shareMachines = true
+    }
+
     /** Number of registered replicas. */
     public val size: Int get() = states.size
 
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/ServingScope.kt
@@ -0,0 +1,30 @@
+package org.buckthornwheel.decision.waiting
+
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.ReplicaId
+
+/**
+ * Where a request may be served.
+ *
+ * @property homes the only regions that may serve it; empty if all may.
+ * @property excludedRegions regions that have rejected it.
+ * @property excludedReplicas replicas that it must not be sent to again.
+ */
+public data class ServingScope(
+    public val homes: Set<RegionName>,
+    public val excludedRegions: Set<RegionName>,
+    public val excludedReplicas: Set<ReplicaId>,
+) {
+    /** Whether the request may be served in [region], and by [replica] if one is given. */
+    public fun permits(region: RegionName, replica: ReplicaId?): Boolean =
+        (homes.isEmpty() || region in homes) && region !in excludedRegions && replica !in excludedReplicas
+
+    /** Whether a request of this scope may be served wherever one of the [other] scope may be. */
+    internal fun covers(other: ServingScope): Boolean {
+        if (homes.isNotEmpty() && (other.homes.isEmpty() || !homes.containsAll(other.homes))) return false
+        val excludesMore = excludedRegions.any { it !in other.excludedRegions && other.mayBeHome(it) }
+        return !excludesMore && other.excludedReplicas.containsAll(excludedReplicas)
+    }
+
+    private fun mayBeHome(region: RegionName): Boolean = homes.isEmpty() || region in homes
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -54,6 +54,7 @@
  * Metadata from the head of a response, besides its status.
  *
  * @property requestsAtReplica requests of all hosts that the replica runs or queues; null if it is not reported.
+ * @property sharesMachine whether the replica reports how much other work on its machine slows it down.
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
@@ -62,6 +63,7 @@
     public val isWrongReplica: Boolean,
     public val retryAfter: Duration?,
     public val requestsAtReplica: Int? = null,
+    public val sharesMachine: Boolean = false,
 )
 
 /** Reads and writes the headers of a deployment. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -26,6 +26,7 @@
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
+    val queues: PlaceQueues,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -14,6 +14,9 @@
     /** No target has a place; the first one is expected after [wait], or it is unknown when. */
     class NoPlace(val wait: Duration?) : PlacementResult
 
+    /** A place exists, but is left to a request that waits for it. */
+    data object Reserved : PlacementResult
+
     /** A place exists, but the request must not be sent once more. */
     data object RetryBudgetExhausted : PlacementResult
 }
@@ -25,6 +28,7 @@
     private val request: ReceivedRequest,
     private val history: AttemptHistory,
     private val proxiedRequest: ProxiedRequest,
+    private val wait: PlaceWait,
 ) {
     private val policy = request.policy
     private val lastEventId: String? get() = proxiedRequest.response.lastEventId
@@ -56,6 +60,7 @@
 
     private fun toReplica(decision: PlacementDecision.Local, now: MonotonicInstant): PlacementResult {
         val state = context.replicas.find(decision.replica.id) ?: return next(now)
+        if (!wait.mayTake(decision.replica.region, decision.replica.id, now)) return PlacementResult.Reserved
         if (history.count > 0 && !context.retries.tryWithdraw(policy.service, now)) {
             return PlacementResult.RetryBudgetExhausted
         }
@@ -70,6 +75,7 @@
         val reachable = context.hosts.primaries(decision.region, now).filter(history::permits)
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return PlacementResult.NoPlace(wait = null)
+        if (!wait.mayTake(decision.region, replica = null, now)) return PlacementResult.Reserved
         context.meters.forwarded()
         val attempt = PeerAttempt(context, proxiedRequest, host, now)
         return PlacementResult.Attempting(attempt) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -28,7 +28,7 @@
     private val loop: EventLoop,
     private val request: ReceivedRequest,
     sink: ResponseSink,
-) {
+) : WaitingOwner {
     val policy: RequestPolicy get() = request.policy
     val metadata: RequestMetadata get() = request.metadata
 
@@ -41,12 +41,14 @@
     private val history = AttemptHistory(request.policy.maximumAttempts)
 
     /** The response that the caller gets. */
-    val response = CallerResponse(context, request, sink, history, ::cancelTimers)
+    val response = CallerResponse(context, request, sink, history, ::stopWaiting)
 
-    private val placement = PlacementStep(context, pool, request, history, this)
+    private val wait: PlaceWait = context.queues.of(policy)
+        ?.let { QueuedWait(it, loop, request, history, context.hosts.region, this) }
+        ?: PolledWait(loop, policy, this)
+    private val placement = PlacementStep(context, pool, request, history, this, wait)
     private var attempt: Attempt? = null
     private var deadlineTimer: ScheduledFuture<*>? = null
-    private var placementTimer: ScheduledFuture<*>? = null
 
     fun start() {
         val now = context.clock.now()
@@ -70,30 +72,35 @@
         attempt?.setReading(reads)
     }
 
-    private fun place() {
+    override fun place() {
         if (response.isDone) return
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
         quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
+        if (!wait.mayTry(now)) return
         when (val result = placement.next(now)) {
-            is PlacementResult.Attempting -> {
-                attempt = result.attempt
-                result.start()
-            }
+            is PlacementResult.Attempting -> begin(result, now)
             is PlacementResult.NoPlace -> waitOrReject(result.wait ?: NO_REPLICA_RETRY_AFTER, now)
+            PlacementResult.Reserved -> Unit
             PlacementResult.RetryBudgetExhausted -> giveUp("retry budget exhausted", NO_REPLICA_RETRY_AFTER)
         }
     }
 
-    /** Retries the placement for a short time; after that, the caller is asked to retry later. */
-    private fun waitOrReject(wait: Duration, now: MonotonicInstant) {
-        val waited = now - policy.arrivedAt
-        if (waited + PLACEMENT_RETRY_INTERVAL > policy.targetLatency * MAXIMUM_WAIT_SHARE || response.hasBegunStream) {
-            return giveUp("no replica available in time", wait)
-        }
-        placementTimer = loop.schedule(::place, PLACEMENT_RETRY_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    private fun begin(next: PlacementResult.Attempting, now: MonotonicInstant) {
+        wait.onTaken(now)
+        attempt = next.attempt
+        next.start()
+    }
+
+    /** A stream that has begun does not wait, since its caller would see a pause. */
+    private fun waitOrReject(firstPlace: Duration, now: MonotonicInstant) {
+        if (response.hasBegunStream) return giveUp("no replica available in time", firstPlace)
+        wait.onNoPlace(firstPlace, now)
     }
 
+    override fun onWaitEnded(reason: String, wait: Duration, retryAfter: Duration?): Unit =
+        giveUp(reason, wait, retryAfter)
+
     /** Called when the request was written to a target. */
     fun onSent(): Unit = history.recordSent()
 
@@ -170,13 +177,13 @@
     }
 
     /** Rejects a request that cannot be placed, with a status that says it was not run only if that is certain. */
-    private fun giveUp(reason: String, wait: Duration) {
+    private fun giveUp(reason: String, wait: Duration, retryAfter: Duration? = null) {
         if (response.hasBegunStream) return response.abort(reason)
         if (history.mayHaveRun) return response.reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
         val remaining = policy.deadline - context.clock.now()
         val draw = ThreadLocalRandom.current().nextDouble()
-        val retryAfter = RetryDelay.after(wait, policy.targetLatency, remaining, draw)
-        response.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfter)
+        val delay = retryAfter ?: RetryDelay.after(wait, policy.targetLatency, remaining, draw)
+        response.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, delay)
     }
 
     private fun onDeadline(): Unit = end("deadline exceeded", HttpResponseStatus.GATEWAY_TIMEOUT, retryAfter = null)
@@ -203,21 +210,15 @@
         running?.cancel()
     }
 
-    private fun cancelTimers() {
+    private fun stopWaiting() {
         deadlineTimer?.cancel(false)
-        placementTimer?.cancel(false)
+        wait.end(context.clock.now())
     }
 
     private companion object {
         /** Slack after the deadline, so that the target's own response to its time limit arrives first. */
         val DEADLINE_SLACK = 80.milliseconds
 
-        /** Maximum share of the target latency that a request may wait for placement. */
-        const val MAXIMUM_WAIT_SHARE = 0.125
-
-        /** Interval between placement attempts: about three batch steps of an engine. */
-        val PLACEMENT_RETRY_INTERVAL = 12.milliseconds
-
         /** Retry-After while no replica is usable. */
         val NO_REPLICA_RETRY_AFTER = 300.milliseconds
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -92,6 +92,7 @@
         val received = context.dialect.readResponse(head.status().code(), head.headers())
         responseMetadata = received
         PeerEnvelope.remove(head.headers())
+        if (received.sharesMachine) context.replicas.recordSharedMachine()
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
         relay = ResponseRelay(proxiedRequest, head)
@@ -166,6 +167,7 @@
         hasStartedResponding = true
         val now = context.clock.now()
         state.recordProgress(work.prefillTokens, now - startedAt, decision.predicted, now)
+        context.queues.recordResponseStart(proxiedRequest.policy, now - startedAt)
     }
 
     private fun endedInsideEvent() {
@@ -228,6 +230,8 @@
         isEnded = true
         val now = context.clock.now()
         state.recordEnd(work, result, now - startedAt, decision.load.requests, now)
+        val isAnswered = result == ReplicaAttemptResult.ANSWERED
+        context.queues.onAttemptEnded(proxiedRequest.policy, isAnswered, now - startedAt, now)
     }
 
     /** Minimum interval between this host's requests to a cold replica; several hosts of the region share the rate. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -27,6 +27,8 @@
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.exchange.Observability
+import org.buckthornwheel.forwarding.exchange.PlaceQueues
+import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
 import org.buckthornwheel.forwarding.front.EstateRequestStarter
@@ -90,6 +92,7 @@
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
 
     private val meters = ForwardingMeters(log::dropped)
+    private val observability = Observability(log, meters)
     private val shutdown = HostShutdown()
     private val reads = RecentPrefills()
     private val quarantine = PromptPartQuarantine()
@@ -120,9 +123,10 @@
             ),
             sharedBudgets,
         ),
-        observability = Observability(log, meters),
+        observability = observability,
         shutdown = shutdown,
         clock = clock,
+        queues = PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder),
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerConnections = InboundConnections(shutdown)
@@ -200,6 +204,13 @@
     private fun isColdRateLimited(replica: Replica): Boolean =
         (routingState.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
 
+    /** By default, requests wait in order where callers compete as accounts, or for replicas that share machines. */
+    private fun waitsInOrder(policy: RequestPolicy): Boolean = when (settings.waiting.order) {
+        WaitingOrder.ORDERED -> true
+        WaitingOrder.UNORDERED -> false
+        WaitingOrder.AUTOMATIC -> policy.account != null || replicas.shareMachines
+    }
+
     private fun recheckQuarantine() {
         callerConnections.recheckQuarantine()
         peerConnections.recheckQuarantine()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.decision.waiting.WaitingLimits
 import kotlin.time.Duration
 
 /**
@@ -29,4 +30,23 @@
     public val shutdownGrace: Duration,
     public val directoryTimeToLive: Duration,
     public val settlingTime: Duration,
+    public val waiting: WaitingSettings = WaitingSettings(),
+)
+
+/** Whether requests that find no place wait in an order. */
+public enum class WaitingOrder {
+    /** They do if callers send on behalf of accounts, or if replicas report that they share their machines. */
+    AUTOMATIC,
+
+    /** They always do. */
+    ORDERED,
+
+    /** They look for a place at intervals, in no order, for an eighth of their target latency. */
+    UNORDERED,
+}
+
+/** How requests wait for places; [limits] bounds the queue of each service. */
+public data class WaitingSettings(
+    public val order: WaitingOrder = WaitingOrder.AUTOMATIC,
+    public val limits: WaitingLimits = WaitingLimits(),
 )
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -2,9 +2,11 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.buckthornwheel.api.ServiceName
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -42,10 +44,24 @@
     internal fun recordResponse(status: Int, took: Duration): Unit =
         meters.responseTimer(status).record(took.toJavaDuration())
 
+    /** Measures the number of waiting requests of [service], which [size] returns. */
+    internal fun recordQueue(service: ServiceName, size: () -> Int): Unit = meters.waitingGauge(service, size)
+
+    /** Records that a request of [rank] has waited for [waited]. */
+    internal fun recordWait(rank: Int, outcome: WaitOutcome, waited: Duration): Unit =
+        meters.waitTimer(rank, outcome).record(waited.toJavaDuration())
+
+    /** Records by how much a request has waited longer than predicted, or shorter if [excess] is negative. */
+    internal fun recordPredictionError(excess: Duration): Unit =
+        meters.predictionTimer(isLonger = excess.isPositive()).record(excess.absoluteValue.toJavaDuration())
+
     /** The metrics in the Prometheus text format. */
     public fun text(): String = meters.registry.scrape()
 }
 
+/** How a wait ended. */
+internal enum class WaitOutcome(val text: String) { STARTED("started"), REJECTED("rejected"), LEFT("left") }
+
 private class Meters(droppedLines: () -> Long) {
     val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     val connections = counter("buckthornwheel.target.connections")
@@ -56,6 +72,8 @@
     val repeats = counter("buckthornwheel.target.repeats")
     val forwards = counter("buckthornwheel.peer.forwards")
     private val responseTimers = HashMap<Int, Timer>()
+    private val waitTimers = HashMap<Pair<Int, WaitOutcome>, Timer>()
+    private val predictionTimers = HashMap<Boolean, Timer>()
 
     init {
         FunctionCounter.builder("buckthornwheel.log.dropped", droppedLines) { it().toDouble() }.register(registry)
@@ -68,5 +86,29 @@
         }
     }
 
+    fun waitingGauge(service: ServiceName, size: () -> Int) {
+        Gauge.builder("buckthornwheel.waiting.requests", size).tag("service", service.value).register(registry)
+    }
+
+    fun waitTimer(rank: Int, outcome: WaitOutcome): Timer = synchronized(waitTimers) {
+        val limited = rank.coerceIn(0, LOWEST_RANK)
+        waitTimers.getOrPut(limited to outcome) {
+            Timer.builder("buckthornwheel.waiting.time").tag("rank", limited.toString()).tag("outcome", outcome.text)
+                .publishPercentileHistogram().register(registry)
+        }
+    }
+
+    fun predictionTimer(isLonger: Boolean): Timer = synchronized(predictionTimers) {
+        predictionTimers.getOrPut(isLonger) {
+            Timer.builder("buckthornwheel.waiting.prediction.error").tag("wait", if (isLonger) "longer" else "shorter")
+                .publishPercentileHistogram().register(registry)
+        }
+    }
+
     private fun counter(name: String): Counter = Counter.builder(name).register(registry)
+
+    private companion object {
+        /** Bounds the number of timers, whatever a manifest says. */
+        const val LOWEST_RANK = 9
+    }
 }
