--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
@@ -11,6 +11,7 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.waiting.CallerTimeLimits
 import org.buckthornwheel.decision.waiting.EntryResult
 import org.buckthornwheel.decision.waiting.RemovedTicket
 import org.buckthornwheel.decision.waiting.WaitingLimits
@@ -35,6 +36,7 @@
     private val isOrdered: (RequestPolicy) -> Boolean,
 ) {
     private val queues = ConcurrentHashMap<ServiceName, PlaceQueue>()
+    private val timeLimits = CallerTimeLimits()
 
     /** The queue in which a request of [policy] waits; null if it looks for a place at intervals. */
     fun of(policy: RequestPolicy): PlaceQueue? = if (isOrdered(policy)) queue(policy.service) else null
@@ -52,7 +54,7 @@
     }
 
     private fun queue(service: ServiceName): PlaceQueue =
-        queues.computeIfAbsent(service) { PlaceQueue(it, WaitingQueue(limits), observability, clock) }
+        queues.computeIfAbsent(service) { PlaceQueue(it, WaitingQueue(limits), timeLimits, observability, clock) }
 }
 
 /** Whether a request waits in the queue. */
@@ -66,6 +68,7 @@
 internal class PlaceQueue(
     private val service: ServiceName,
     private val queue: WaitingQueue<QueuedWait>,
+    private val timeLimits: CallerTimeLimits,
     private val observability: Observability,
     private val clock: MonotonicClock,
 ) {
@@ -76,6 +79,12 @@
         observability.meters.recordQueue(service) { queue.size }
     }
 
+    /** The time that the caller has used before its request arrived; unknown for requests of other regions. */
+    fun usedBefore(policy: RequestPolicy, remaining: Duration?): Duration {
+        if (remaining == null || !policy.mayForward) return Duration.ZERO
+        return timeLimits.used(policy.routeName, policy.account, remaining, policy.arrivedAt)
+    }
+
     fun isBehind(request: WaitingRequest, now: MonotonicInstant): Boolean = queue.isBehind(request, now)
 
     fun isClaimed(request: WaitingRequest, region: RegionName, replica: ReplicaId?, now: MonotonicInstant): Boolean =
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
@@ -22,6 +22,7 @@
 ) : PlaceWait {
     private val policy = request.policy
     private var ticket: WaitingTicket<QueuedWait>? = null
+    private val usedBefore = queue.usedBefore(policy, request.metadata.remaining)
     private var hasArrived = false
 
     override fun mayTry(now: MonotonicInstant): Boolean {
@@ -94,7 +95,7 @@
         tokens = request.metadata.promptTokens.toLong() +
             (request.metadata.expectedOutputTokens ?: request.metadata.outputTokens),
         bytes = request.body.readableBytes() + HEAD_BYTES,
-        arrivedAt = policy.arrivedAt,
+        arrivedAt = policy.arrivedAt + -usedBefore,
         target = policy.targetLatency,
         deadline = policy.deadline,
         waitsUntil = when {
