--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -28,6 +28,7 @@
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
     val currency: ManifestCurrency,
+    val queues: PlaceQueues,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
