Tests of client accounts at real hosts, and recorded forms of the new fields

Cause: ClientAccountsTest had not been run; two of its cases used a route for streams with a plain response (502 for the stream that ends inside an event), which was a fault of the test. Change: these cases use a public idempotent route, with the same expectations. The forms of a heartbeat that rejects accounts and of an envelope with an account are recorded besides the earlier ones, which are unchanged.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
+import org.buckthornwheel.api.AccountName
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.Incarnation
 import org.buckthornwheel.api.NetworkAddress
@@ -74,7 +75,9 @@
     private val specimens: List<Specimen<*>> =
         listOf(heartbeat("heartbeat-brief", brief), heartbeat("heartbeat-full", full)) +
             heartbeat("heartbeat-quarantine", brief.copy(quarantine = quarantine)) +
+            heartbeat("heartbeat-accounts", brief.copy(refusesAccounts = true)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
+            envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) }
 
     private val recorded: Map<String, String> = checkNotNull(javaClass.getResource("/encoded-forms.txt")).readText()
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ClientAccountsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ClientAccountsTest.kt
@@ -46,7 +46,7 @@
 
     private fun manifest(vararg accounts: ClientAccount, version: Long = 2): Manifest {
         val plain = TestManifest.of(version)
-        val routes = plain.routes.map { if (it.name == "once") it.copy(isPublic = true) else it }
+        val routes = plain.routes.map { if (it.name == "brief") it.copy(isPublic = true) else it }
         return plain.copy(routes = routes, accounts = accounts.toList(), requiresAccounts = true)
     }
 
@@ -145,7 +145,7 @@
         @Test
         fun `a public route needs no key, and passes on neither key nor name`() {
             for (headers in listOf("", "Key: key-1\r\nAccount: two\r\n", "Key: unknown\r\n")) {
-                expectThat(host.send(headers, "/once/x")).isNotNull().get { status }.isEqualTo(200)
+                expectThat(host.send(headers, "/brief/x")).isNotNull().get { status }.isEqualTo(200)
                 expectThat(replica.requests.last()) {
                     get { header("Key") }.isNull()
                     get { header("Account") }.isNull()
@@ -169,7 +169,7 @@
                     get { header("Retry-After") }.isNotNull()
                 }
             }
-            expectThat(host.send("", "/once/x")).isNotNull().get { status }.isEqualTo(200)
+            expectThat(host.send("", "/brief/x")).isNotNull().get { status }.isEqualTo(200)
             prove(host)
             expectThat(host.send("Key: key-1\r\n")).isNotNull().get { status }.isEqualTo(200)
         }
