--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
@@ -25,6 +25,13 @@
     /** Whether requests of client accounts are rejected, since keys may have been removed meanwhile. */
     public val refusesAccounts: Boolean get() = bound != null && guard?.isOpen(reading()) == false
 
+    /** Whether a host that reads the store only for this has to read it again by now. */
+    public val isReadDue: Boolean
+        get() {
+            val age = guard?.takeIf { bound != null }?.age(reading()) ?: return false
+            return age >= guard.bound * READ_SHARE_OF_BOUND
+        }
+
     /** Records that a read of the store is sent now. */
     public fun readSent(): StoreRead = StoreRead(guard?.readSent(reading()))
 
@@ -37,4 +44,9 @@
     }
 
     private fun reading() = ClockReading(clock.now(), unixMilliseconds())
+
+    private companion object {
+        /** Leaves time for a read that fails and another one before the guard closes. */
+        const val READ_SHARE_OF_BOUND = 0.5
+    }
 }
