--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -28,6 +28,18 @@
     private val routesByHost: Map<String, List<Route>> =
         routes.groupBy { it.hostName }.mapValues { (_, list) -> list.sortedByDescending { it.pathPrefix.length } }
 
+    private val targetsByService: Map<ServiceName, List<Route>> = routes
+        .flatMap { route -> route.split.map { it.service to route } }
+        .groupBy({ it.first }, { it.second })
+        .mapValues { (_, list) -> shortestOfEachPriority(list) }
+
+    private fun shortestOfEachPriority(list: List<Route>): List<Route> =
+        list.groupBy { it.priority }.values.map { same -> same.minBy { it.targetLatency } }
+
+    /** The shortest target latency among the routes of [service] that are at least as urgent as [priority]. */
+    public fun shortestTarget(service: ServiceName, priority: Int): Duration? =
+        targetsByService[service]?.filter { it.priority <= priority }?.minOfOrNull { it.targetLatency }
+
     /** The route of [hostName] with the longest path prefix that matches [path]; null if none matches. */
     public fun select(hostName: String, path: String): Route? =
         routesByHost[hostName]?.firstOrNull { path.startsWith(it.pathPrefix) }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
@@ -19,6 +19,8 @@
  * @property excluded replicas that earlier attempts of this request have used.
  * @property closedZones zones whose replicas get no requests.
  * @property mayForward whether another region may be chosen.
+ * @property queueTarget shortest target latency among requests of the service that are at least as urgent; limits the
+ *   queues at replicas that it may join.
  * @property isUrgent whether it may join longer queues and is assumed not to be preempted.
  */
 public data class PlacementRequest(
@@ -34,4 +36,5 @@
     public val closedZones: Set<ZoneName>,
     public val mayForward: Boolean,
     public val isUrgent: Boolean,
+    public val queueTarget: Duration = targetLatency,
 )
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/QueueLimits.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/QueueLimits.kt
@@ -9,7 +9,8 @@
  * Covers a service that has lost replicas while the remaining ones are far away: without requests queued at a replica,
  * its slots are idle while the next request is in transit. A queue keeps the slots busy, but only up to a length at
  * which the last request still starts well within its target latency. Urgent requests may join a longer queue, so that
- * less urgent ones are rejected first.
+ * less urgent ones are rejected first. A less urgent request with a longer target joins no longer queue than a more
+ * urgent one of its service, which would otherwise find the replica full although it would be admitted first there.
  */
 internal class QueueLimits(private val costs: CostModel) {
     /** Whether the replica of [snapshot] has capacity for [request]. */
@@ -23,7 +24,8 @@
     private fun queueLimit(snapshot: ReplicaSnapshot, request: PlacementRequest): Int {
         val isPlainService = snapshot.tokenCapacity <= 0
         val waitShare = if (isPlainService) PLAIN_WAIT_SHARE else engineWaitShare(request)
-        val maximumWait = request.targetLatency.toDouble(DurationUnit.MILLISECONDS) * waitShare
+        val maximumWait =
+            minOf(request.targetLatency, request.queueTarget).toDouble(DurationUnit.MILLISECONDS) * waitShare
         val positions = (maximumWait / maxOf(1.0, costs.slotWaitMilliseconds(snapshot))).toInt()
         val maximumPerSlot = if (isPlainService) MAXIMUM_PLAIN_QUEUE_PER_SLOT else MAXIMUM_QUEUE_PER_SLOT
         return minOf(positions, (snapshot.replica.slots * maximumPerSlot).toInt())
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitJudgement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitJudgement.kt
@@ -34,13 +34,13 @@
     /** Why [ticket] must not wait any longer; null if it may. */
     fun reason(ticket: WaitingTicket<T>, prediction: WaitPrediction, now: MonotonicInstant): WaitingRejectionReason? {
         if (now >= maxOf(ticket.lateUntil, ticket.onTimeUntil)) return WaitingRejectionReason.TIME_USED_UP
-        val isKnown = isKnown(prediction, ticket.request)
+        if (!isKnown(prediction, ticket.request)) return null
         val error = times(ticket.request.rank).excessWait.cautious
         if (now < ticket.onTimeUntil) {
             val isFirst = prediction.ahead.requests < 1.0
-            if (!isKnown || isFirst || now + (prediction.wait + error) <= ticket.onTimeUntil) return null
+            if (isFirst || now + (prediction.wait + error) <= ticket.onTimeUntil) return null
         }
-        val isInTime = isKnown && now + (prediction.lateWait + error) <= ticket.lateUntil
+        val isInTime = now + (prediction.lateWait + error) <= ticket.lateUntil
         return if (isInTime) null else WaitingRejectionReason.PREDICTED_TOO_LATE
     }
 
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/placement/PlacementTest.kt
@@ -48,6 +48,15 @@
             expectThat(choose(request(isUrgent = true))).isA<PlacementDecision.Full>()
         }
 
+        @Test
+        fun `a less urgent request with a longer target joins no longer queue than a more urgent one`() {
+            add("a")
+            occupy("a", 6)
+            val patient = request().copy(targetLatency = 6.seconds, queueTarget = 6.seconds)
+            expectThat(choose(patient).chosenReplica()).isEqualTo("a")
+            expectThat(choose(patient.copy(queueTarget = 800.milliseconds))).isA<PlacementDecision.Full>()
+        }
+
         @Test
         fun `short requests may queue at the last replica so that its slots stay busy`() {
             add("a")
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/WaitingPlay.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/WaitingPlay.kt
@@ -195,7 +195,7 @@
 
     private fun poll(end: Double) {
         polls += 1
-        if (polls % 8 == 0) queue.review(at(now), random::nextDouble).forEach(::leaveRejected)
+        if (polls % 4 == 0) queue.review(at(now), random::nextDouble).forEach(::leaveRejected)
         offer()
         if (now < end) after(POLL) { poll(end) }
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
@@ -38,8 +38,12 @@
     private val queues = ConcurrentHashMap<ServiceName, PlaceQueue>()
     private val timeLimits = CallerTimeLimits()
 
-    /** The queue in which a request of [policy] waits; null if it looks for a place at intervals. */
-    fun of(policy: RequestPolicy): PlaceQueue? = if (isOrdered(policy)) queue(policy.service) else null
+    /**
+     * The queue in which a request of [policy] waits; null if it looks for a place at intervals. Once some requests of a
+     * service wait in order, all do.
+     */
+    fun of(policy: RequestPolicy): PlaceQueue? =
+        queues[policy.service] ?: if (isOrdered(policy)) queue(policy.service) else null
 
     /** Records that the response to a request of [policy] began [duration] after it was sent. */
     fun recordResponseStart(policy: RequestPolicy, duration: Duration) {
@@ -174,7 +178,7 @@
     private fun Duration.milliseconds(): Double? = toDouble(DurationUnit.MILLISECONDS).takeIf { it.isFinite() }
 
     private companion object {
-        /** Polls between two reviews: a tenth of a second, short against the targets of requests. */
-        const val REVIEW_POLLS = 8
+        /** Polls between two reviews: a twentieth of a second, short against the targets of requests. */
+        const val REVIEW_POLLS = 4
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -56,6 +56,8 @@
         closedZones = context.routingState.closedZones,
         mayForward = policy.mayForward && !proxiedRequest.quarantine.isProbe,
         isUrgent = policy.priority == 0,
+        queueTarget = context.routingState.manifest?.shortestTarget(policy.service, policy.priority)
+            ?: policy.targetLatency,
     )
 
     private fun toReplica(decision: PlacementDecision.Local, now: MonotonicInstant): PlacementResult {
