--- a/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/PlacePace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/PlacePace.kt
@@ -18,6 +18,7 @@
     private var observedSeconds = 0.0
     private var updatedAt: MonotonicInstant? = null
     private var isObserving = false
+    private var waitingSince: MonotonicInstant? = null
 
     /** When a place was last taken; null before that. */
     var lastStartAt: MonotonicInstant? = null
@@ -26,6 +27,7 @@
     /** Records that from [now] on requests wait, or that none does. */
     fun observe(isWaiting: Boolean, now: MonotonicInstant) {
         advance(now)
+        if (isWaiting && !isObserving) waitingSince = now
         isObserving = isWaiting
     }
 
@@ -48,9 +50,11 @@
     /** Time until [amount] has started, if only requests of [rank] and less urgent ones take places. */
     fun timeFor(amount: WorkAmount, rank: Int, now: MonotonicInstant): Duration {
         if (amount.requests <= 0.0) return Duration.ZERO
-        val perSecond = perSecond(rank, now)
-        if (perSecond.requests <= 0.0) return Duration.INFINITE
-        return maxOf(amount.requests / perSecond.requests, amount.work / perSecond.work).seconds
+        val known = perSecond(rank, now)
+        val coming = possibleStart(now) / maxOf(observedSeconds, SHORTEST_SECONDS)
+        val requestsPerSecond = known.requests + coming
+        val workPerSecond = known.work + coming * amount.work / amount.requests
+        return maxOf(amount.requests / requestsPerSecond, amount.work / workPerSecond).seconds
     }
 
     /** Starts a second of [rank] and less urgent requests. */
@@ -71,6 +75,16 @@
         return WorkAmount(requests[index] / observedSeconds, work[index] / observedSeconds)
     }
 
+    /**
+     * The start that may be about to come: a short time without a start does not show that there are no places, a long
+     * one does.
+     */
+    private fun possibleStart(now: MonotonicInstant): Double {
+        val from = waitingSince ?: now
+        val since = lastStartAt?.let { maxOf(it, from) } ?: from
+        return exp(-(now - since).toDouble(DurationUnit.SECONDS) / MEMORY_SECONDS)
+    }
+
     private fun advance(now: MonotonicInstant) {
         val before = updatedAt
         updatedAt = maxOf(now, before ?: now)
@@ -85,6 +99,8 @@
     }
 
     private companion object {
+        const val SHORTEST_SECONDS = 0.001
+
         /** The platform's priorities range from 0 to 9. */
         const val RANKS = 10
 
