--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -7,6 +7,7 @@
 package org.buckthornwheel.forwarding.connection
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -97,6 +98,7 @@
         val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, RESPONSE_BUFFERS)
         KeepAliveOptions.set { option, value -> bootstrap.option(option, value) }
         bootstrap.handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
@@ -121,6 +123,9 @@
     )
 
     private companion object {
+        /** Buffers of single reads; reading may pause after each. */
+        val RESPONSE_BUFFERS = AdaptiveRecvByteBufAllocator(64, 2_048, 16_384)
+
         /** Callers allow one second for a connection; a target of the same region responds within milliseconds. */
         const val CONNECT_TIMEOUT_MILLISECONDS = 600
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import org.buckthornwheel.decision.memory.MemoryBudget
+import org.buckthornwheel.decision.memory.Reservation
 import org.buckthornwheel.forwarding.dialect.HopByHopHeaders
 
 /** What a part of a response contributed to it. */
@@ -30,14 +32,16 @@
     TOO_LONG,
 }
 
-/** Relays the response with the given [head] to the caller of [proxiedRequest]. */
-internal class ResponseRelay(private val proxiedRequest: ProxiedRequest, head: HttpResponse) {
+/** Relays the response with the given [head] to the caller of [proxiedRequest]; buffers within [memory]. */
+internal class ResponseRelay(private val proxiedRequest: ProxiedRequest, head: HttpResponse, memory: MemoryBudget) {
     val status: HttpResponseStatus = head.status()
     private val headers: HttpHeaders = head.headers().copy().also(HopByHopHeaders::strip)
     private val isStream = proxiedRequest.policy.isStreaming && status.code() == HttpResponseStatus.OK.code()
     private val eventParser = EventStreamParser()
     private var buffered: CompositeByteBuf? = if (isStream) null else Unpooled.compositeBuffer(MAXIMUM_COMPONENTS)
 
+    private val reservation = Reservation(memory)
+
     /** Whether streaming to the caller has begun. */
     var hasBegun: Boolean = false
         private set
@@ -51,7 +55,7 @@
             return RelayResult.USABLE
         }
         body.addComponent(true, content)
-        if (body.readableBytes() <= MAXIMUM_BUFFERED_BYTES || proxiedRequest.hasBegunStream) return RelayResult.USABLE
+        if (mayBuffer(body.readableBytes()) || proxiedRequest.hasBegunStream) return RelayResult.USABLE
         if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
         streamBuffered(body)
         return RelayResult.USABLE
@@ -66,6 +70,7 @@
         val body = buffered
         if (body == null) return proxiedRequest.endStream(status.code())
         buffered = null
+        reservation.close()
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         proxiedRequest.respond(status, headers, body)
     }
@@ -74,9 +79,17 @@
     fun discard() {
         buffered?.release()
         buffered = null
+        reservation.close()
         eventParser.discardRemainder()
     }
 
+    /** A short error response is buffered in any case, since it cannot be streamed. */
+    private fun mayBuffer(length: Int): Boolean = when {
+        length > MAXIMUM_BUFFERED_BYTES -> false
+        reservation.tryResize(length.toLong()) -> true
+        else -> status.codeClass() != HttpStatusClass.SUCCESS && length <= SHORT_ERROR_BYTES
+    }
+
     private fun addEvents(content: ByteBuf): RelayResult {
         val events = eventParser.add(content)
         for (event in events) {
@@ -99,6 +112,7 @@
     private fun streamBuffered(body: ByteBuf) {
         begin()
         buffered = null
+        reservation.close()
         proxiedRequest.streamBytes(body)
     }
 
@@ -115,6 +129,7 @@
          * users' data sheets are below 5 kB.
          */
         const val MAXIMUM_BUFFERED_BYTES = 262_144
+        const val SHORT_ERROR_BYTES = 16_384
         const val MAXIMUM_COMPONENTS = 1_024
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -1,15 +1,17 @@
 /*
- * An inbound connection. Requests are processed one at a time: each gets its response before the next one is started.
+ * An inbound connection. Requests are processed one at a time: each gets its response before the next one is read.
  */
 
 package org.buckthornwheel.forwarding.front
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -23,6 +25,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -30,61 +33,69 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import io.netty.util.concurrent.ScheduledFuture
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
 import org.buckthornwheel.forwarding.exchange.ResponseSink
-import java.util.concurrent.TimeUnit
+import org.buckthornwheel.forwarding.limits.ConnectionStanding
+import org.buckthornwheel.forwarding.limits.EvictableConnection
+import org.buckthornwheel.forwarding.limits.Limit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
-/** A complete request, and the time [at] which its last byte was read. */
-internal class ArrivedRequest(val head: HttpRequest, val body: ByteBuf, val at: MonotonicInstant)
-
-/** Starts complete requests. */
-internal interface RequestStarter {
-    /** Whether a request cannot be started yet, but probably soon. */
-    fun mustWait(): Boolean
-
-    /** The proxied request for [request]; null if a response was sent immediately. */
-    fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest?
-}
-
-/** Limits of a connection, from the manifest in force. */
-internal class InboundLimits(val bodyBytes: Int, val headerTimeout: Duration, val idleTimeout: Duration)
-
+/** The handler of an inbound connection, at the end of its pipeline. */
 internal class InboundConnection(
+    private val channel: SocketChannel,
     private val starter: RequestStarter,
-    private val limits: () -> InboundLimits,
-    private val connections: InboundConnections,
+    private val resources: InboundResources,
 ) : ChannelInboundHandlerAdapter(),
-    ResponseSink {
+    ResponseSink,
+    ReadingConnection,
+    EvictableConnection {
     private lateinit var context: ChannelHandlerContext
-    private val queue = ArrayDeque<HttpObject>()
-    private var assembler: RequestAssembler? = null
+    private val connections = resources.connections
+    private val reader =
+        RequestReader(channel, this, resources.limits, resources.memory, resources.headerBytes())
+    private val unwritten = UnwrittenBytes(channel, resources.memory.responses, ::onWriteProgress)
+    private val timer = ConnectionTimer(channel.eventLoop())
     private var waiting: ArrivedRequest? = null
     private var proxiedRequest: ProxiedRequest? = null
     private var keepsAlive = true
     private var isHttp10 = false
     private var isClosing = false
-    private var timer: ScheduledFuture<*>? = null
-    private var isReadingHead = false
+    private var hasServed = false
     private var unwrittenResponses = 0
+
+    @Volatile
     private var idleSince = MonotonicClock.SYSTEM.now()
 
-    val eventLoop get() = context.channel().eventLoop()
+    val eventLoop: EventLoop get() = channel.eventLoop()
 
     private val hasRequest: Boolean get() = proxiedRequest != null || waiting != null
 
-    private val isBusy: Boolean get() = hasRequest || assembler != null || isReadingHead
+    private val isBusy: Boolean get() = hasRequest || reader.isReading
 
-    private val isIdle: Boolean get() = !isBusy && queue.isEmpty() && unwrittenResponses == 0
+    private val isIdle: Boolean get() = !isBusy && !reader.hasFurtherBytes && unwrittenResponses == 0
 
-    override val isWritable: Boolean get() = context.channel().isWritable
+    override val isWritable: Boolean get() = unwritten.mayWrite
+
+    override val mayRead: Boolean get() = !hasRequest && !isClosing && unwritten.mayWrite
+
+    override val standing: ConnectionStanding? get() = when {
+        hasRequest -> null
+        isClosing || reader.isReading -> ConnectionStanding.UNFINISHED
+        else -> if (hasServed) ConnectionStanding.IDLE else ConnectionStanding.UNUSED
+    }
+
+    override val lastProgress: MonotonicInstant get() = maxOf(idleSince, reader.lastProgress)
 
     override fun handlerAdded(added: ChannelHandlerContext) {
         context = added
+        added.pipeline()
+            .addBefore(added.name(), null, reader.gate)
+            .addBefore(added.name(), null, reader.decoder)
+            .addBefore(added.name(), null, HttpResponseEncoder())
     }
 
     override fun channelActive(active: ChannelHandlerContext) {
@@ -92,40 +103,28 @@
         awaitRequest()
     }
 
-    /** Called when bytes arrive; the first bytes of a head start the time limit for the rest of it. */
-    fun onBytes() {
-        if (isBusy || isClosing) return
-        isReadingHead = true
-        scheduleTimer(limits().headerTimeout) { reject(HttpResponseStatus.REQUEST_TIMEOUT) }
-    }
-
     override fun channelRead(reading: ChannelHandlerContext, message: Any) {
-        if (message !is HttpObject || isClosing) {
+        try {
+            if (message is HttpObject && !isClosing) read(message)
+        } finally {
             ReferenceCountUtil.release(message)
-            return
         }
-        if (hasRequest) return enqueue(message)
-        read(message)
     }
 
     override fun channelInactive(inactive: ChannelHandlerContext) {
         isClosing = true
-        timer?.cancel(false)
+        timer.cancel()
         connections.closed(this)
-        assembler?.discard()
-        assembler = null
+        reader.close()
+        unwritten.close()
         waiting?.body?.release()
         waiting = null
-        queue.forEach(ReferenceCountUtil::release)
-        queue.clear()
         val running = proxiedRequest
         proxiedRequest = null
         running?.cancel()
     }
 
-    override fun channelWritabilityChanged(changed: ChannelHandlerContext) {
-        proxiedRequest?.setReading(isWritable)
-    }
+    override fun channelWritabilityChanged(changed: ChannelHandlerContext): Unit = onWriteProgress()
 
     override fun exceptionCaught(caught: ChannelHandlerContext, cause: Throwable) {
         caught.close()
@@ -136,11 +135,29 @@
         proxiedRequest?.recheckQuarantine()
     }
 
+    /** Closes the connection if its caller keeps memory without progress that others wait for. */
+    fun relieve(shortage: MemoryShortage) {
+        val now = MonotonicClock.SYSTEM.now()
+        val patience = if (shortage.ofResponses) PATIENCE_UNDER_PRESSURE else PATIENCE
+        when {
+            isClosing -> Unit
+
+            unwritten.hasStalled(now, patience) -> {
+                resources.limitLog.record(Limit.UNREAD_RESPONSE)
+                context.close()
+            }
+
+            shortage.ofRequests -> reader.relieve(now)
+        }
+    }
+
+    override fun evict(): Unit = eventLoop.execute { if (!hasRequest) context.close() }
+
     /** Closes the connection if it has been idle for [minimumIdle]; otherwise, its next response announces that. */
     fun drain(minimumIdle: Duration) {
         if (!hasBeenIdle(minimumIdle)) return
         // A busy event loop may not have read a request yet that has arrived; closing would discard it.
-        (context.channel() as NioSocketChannel).unsafe().read()
+        (channel as NioSocketChannel).unsafe().read()
         if (hasBeenIdle(minimumIdle)) context.close()
     }
 
@@ -172,7 +189,7 @@
     }
 
     override fun stream(content: ByteBuf) {
-        context.writeAndFlush(DefaultHttpContent(content))
+        unwritten.written(context.writeAndFlush(DefaultHttpContent(content)))
         if (!isWritable) proxiedRequest?.setReading(false)
     }
 
@@ -184,25 +201,28 @@
         isClosing = true
         proxiedRequest = null
         // Without chunks, an orderly close would mark the response as complete.
-        if (isHttp10) context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        if (isHttp10) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         context.close()
     }
 
     /** During the shutdown, the connection is closed after the last of the requests that were read already. */
     private fun setConnection(headers: HttpHeaders) {
-        if (connections.isDraining && queue.isEmpty()) keepsAlive = false
+        if (connections.isDraining && !reader.hasFurtherBytes) keepsAlive = false
         if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
-    private fun end(written: io.netty.channel.ChannelFuture) {
+    private fun end(written: ChannelFuture) {
         proxiedRequest = null
+        hasServed = true
         isClosing = !keepsAlive
         unwrittenResponses += 1
+        unwritten.written(written)
         written.addListener(ChannelFutureListener { onResponseWritten() })
-        if (isClosing) return
+        if (isClosing) return reader.close()
+        reader.endRequest()
         awaitRequest()
         // The next request is read in a later task of the event loop, so that responses do not nest.
-        if (queue.isNotEmpty()) eventLoop.execute(::readQueue)
+        if (reader.hasFurtherBytes) eventLoop.execute(reader::resume)
     }
 
     private fun onResponseWritten() {
@@ -211,70 +231,51 @@
         if (isClosing && unwrittenResponses == 0) halfClose()
     }
 
+    private fun onWriteProgress() {
+        proxiedRequest?.setReading(isWritable)
+        if (mayRead && reader.hasFurtherBytes) eventLoop.execute(reader::resume)
+    }
+
     /** Half-closes, since closing with unread bytes would reset the connection and lose the last response. */
     private fun halfClose() {
-        val channel = context.channel() as SocketChannel
         if (!channel.isActive) return
         channel.shutdownOutput()
-        scheduleTimer(limits().headerTimeout) { channel.close() }
+        timer.schedule(resources.limits().headerTimeout) { channel.close() }
     }
 
+    /** Closes the connection if it stays idle; requests that arrive and unread responses have limits of their own. */
     private fun awaitRequest() {
-        isReadingHead = false
-        scheduleTimer(limits().idleTimeout) { context.close() }
-    }
-
-    private fun scheduleTimer(after: Duration, action: () -> Unit) {
-        timer?.cancel(false)
-        timer = eventLoop.schedule(action, after.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    private fun enqueue(message: HttpObject) {
-        queue.addLast(message)
-        if (queue.size > MAXIMUM_QUEUED_MESSAGES) context.channel().config().isAutoRead = false
-    }
-
-    private fun readQueue() {
-        while (!hasRequest && !isClosing) {
-            val message = queue.removeFirstOrNull() ?: break
-            read(message)
+        timer.schedule(resources.limits().idleTimeout) {
+            if (isIdle) {
+                context.close()
+            } else if (!hasRequest) {
+                awaitRequest()
+            }
         }
-        if (queue.size <= MAXIMUM_QUEUED_MESSAGES) context.channel().config().isAutoRead = true
     }
 
     private fun read(message: HttpObject) {
-        try {
-            if (message.decoderResult().isFailure) return reject(statusOf(message.decoderResult().cause()))
-            if (message is HttpRequest) begin(message)
-            if (message is HttpContent) add(message)
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
+        if (message.decoderResult().isFailure) return reject(statusOf(message.decoderResult().cause()))
+        if (message is HttpRequest) begin(message)
+        if (message is HttpContent && !isClosing) reader.add(message)
     }
 
     private fun begin(head: HttpRequest) {
-        isReadingHead = false
+        timer.cancel()
         isHttp10 = head.protocolVersion() == HttpVersion.HTTP_1_0
         keepsAlive = HttpUtil.isKeepAlive(head)
-        assembler = RequestAssembler(head, limits().bodyBytes)
-        scheduleTimer(limits().idleTimeout) { reject(HttpResponseStatus.REQUEST_TIMEOUT) }
-        if (HttpUtil.is100ContinueExpected(head)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+        reader.begin(head)
     }
 
-    private fun add(content: HttpContent) {
-        val collecting = assembler ?: return
-        if (!collecting.add(content)) return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        if (content !is LastHttpContent) return
-        assembler = null
-        timer?.cancel(false)
-        startOrWait(ArrivedRequest(collecting.head, collecting.takeBody(), MonotonicClock.SYSTEM.now()))
+    override fun sendContinue() {
+        context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
     }
 
+    override fun onRequest(request: ArrivedRequest): Unit = startOrWait(request)
+
     private fun startOrWait(request: ArrivedRequest) {
         waiting = request
-        if (starter.mustWait()) return scheduleTimer(START_CHECK_INTERVAL) { startOrWait(request) }
+        if (starter.mustWait()) return timer.schedule(START_CHECK_INTERVAL) { startOrWait(request) }
         waiting = null
         starter.start(request, this)?.let { started ->
             proxiedRequest = started
@@ -282,13 +283,18 @@
         }
     }
 
+    override fun refuse(refusal: Refusal) {
+        refusal.limit?.let(resources.limitLog::record)
+        reject(refusal.status)
+    }
+
     /** Rejects an unreadable request and closes the connection, since the bytes after it cannot be interpreted. */
     private fun reject(status: HttpResponseStatus) {
         if (isClosing) return
-        assembler?.discard()
-        assembler = null
         keepsAlive = false
-        respond(status, DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER)
+        val headers = DefaultHttpHeaders()
+        if (status == HttpResponseStatus.SERVICE_UNAVAILABLE) headers.set(HttpHeaderNames.RETRY_AFTER, 1)
+        respond(status, headers, Unpooled.EMPTY_BUFFER)
     }
 
     private fun statusOf(cause: Throwable): HttpResponseStatus = when (cause) {
@@ -297,10 +303,13 @@
     }
 
     private companion object {
-        /** Number of queued messages of pipelined requests above which reading is paused. */
-        const val MAXIMUM_QUEUED_MESSAGES = 64
-
         /** Interval between checks whether a waiting request can be started; small compared to a target latency. */
         val START_CHECK_INTERVAL = 10.milliseconds
+
+        /** Time without reading after which a caller is taken to read no more of its response. */
+        val PATIENCE = 5.seconds
+
+        /** Same as [PATIENCE] while others need the memory; several retransmissions of lost packets. */
+        val PATIENCE_UNDER_PRESSURE = 2.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -31,7 +31,6 @@
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
 import org.buckthornwheel.forwarding.front.EstateRequestStarter
 import org.buckthornwheel.forwarding.front.InboundConnection
-import org.buckthornwheel.forwarding.front.InboundConnections
 import org.buckthornwheel.forwarding.front.InboundLimits
 import org.buckthornwheel.forwarding.front.PeerRequestStarter
 import org.buckthornwheel.forwarding.front.RequestStarter
@@ -89,8 +88,9 @@
     public val loops: MultiThreadIoEventLoopGroup =
         MultiThreadIoEventLoopGroup(settings.eventLoops, NioIoHandler.newFactory())
 
-    private val meters = ForwardingMeters(log::dropped)
     private val shutdown = HostShutdown()
+    private val limits = HostLimits(settings.machine, log, shutdown)
+    private val meters = ForwardingMeters(log::dropped, limits::addTo)
     private val reads = RecentPrefills()
     private val quarantine = PromptPartQuarantine()
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
@@ -123,10 +123,11 @@
         observability = Observability(log, meters),
         shutdown = shutdown,
         clock = clock,
+        responseMemory = limits.memory.responses,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
-    private val callerConnections = InboundConnections(shutdown)
-    private val peerConnections = InboundConnections(shutdown)
+    private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
+    private val peerResources = limits.inbound(limits.peers, ::peerLimits) { PEER_HEADER_BYTES }
     private val quarantineSharing =
         QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine) { onQuarantineDecision(it) }
     private val heartbeats = HeartbeatService(
@@ -141,7 +142,7 @@
     )
     private val listeners = ArrayList<OpenListener>()
     private val gracefulShutdown =
-        GracefulShutdown(settings, shutdown, listOf(callerConnections, peerConnections), listeners, loops, log, clock)
+        GracefulShutdown(settings, shutdown, listOf(limits.callers, limits.peers), listeners, loops, log, clock)
 
     /** Whether the host serves callers: it has a manifest and replicas and is not shutting down. */
     public val isReady: Boolean get() = !shutdown.hasBegun && routingState.manifest != null && replicas.size > 0
@@ -156,21 +157,17 @@
     public fun start() {
         val factory = Listeners(loops)
         heartbeats.start(loops)
-        listeners += factory.openProxy(settings.self.peerAddress, { PEER_HEADER_BYTES }) {
-            InboundConnection(peerStarter(it.eventLoop()), ::peerLimits, peerConnections)
-        }
-        settings.readinessAddress?.let { address ->
-            listeners += factory.openEndpoint(address, endpoints.readiness { isReady })
-        }
-        settings.directoryAddress?.let { listeners += factory.openEndpoint(it, endpoints.directory(directory())) }
-        settings.metricsAddress?.let {
-            listeners +=
-                factory.openEndpoint(it) { _, _ -> EndpointResponse(OK, body = meters.text()) }
+        listeners += factory.openProxy(settings.self.peerAddress, limits.peers.group) {
+            InboundConnection(it, peerStarter(it.eventLoop()), peerResources)
         }
+        openEndpoint(factory, settings.readinessAddress, "readiness", endpoints.readiness { isReady })
+        openEndpoint(factory, settings.directoryAddress, "directory", endpoints.directory(directory()))
+        openEndpoint(factory, settings.metricsAddress, "metrics") { _, _ -> EndpointResponse(OK, body = meters.text()) }
         val startup = StartupAdmission(clock.now())
-        listeners += factory.openProxy(settings.self.callerAddress, ::headerBytes) {
-            InboundConnection(callerStarter(it.eventLoop(), startup), ::callerLimits, callerConnections)
+        listeners += factory.openProxy(settings.self.callerAddress, limits.callers.group) {
+            InboundConnection(it, callerStarter(it.eventLoop(), startup), callerResources)
         }
+        limits.startRelieving(loops)
         loops.next().scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
         log.write(LogPart.HOST, "started") {
             put("zone", settings.self.zone.value)
@@ -185,6 +182,10 @@
     public fun quarantineRecorded(part: String, age: Duration): Unit =
         quarantineSharing.addRecorded(part, age, clock.now())
 
+    private fun openEndpoint(factory: Listeners, address: NetworkAddress?, name: String, endpoint: HttpEndpoint) {
+        if (address != null) listeners += factory.openEndpoint(address, limits.endpoint(name, endpoint))
+    }
+
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
@@ -201,8 +202,8 @@
         (routingState.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
 
     private fun recheckQuarantine() {
-        callerConnections.recheckQuarantine()
-        peerConnections.recheckQuarantine()
+        limits.callers.recheckQuarantine()
+        limits.peers.recheckQuarantine()
     }
 
     private fun headerBytes(): Int = routingState.manifest?.limits?.headerBytes ?: DEFAULT_HEADER_BYTES
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.forwarding.limits.MachineLimits
 import kotlin.time.Duration
 
 /**
@@ -15,6 +16,7 @@
  * @property settlingTime time after the start within which the host and the other hosts get to know each other; it
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
+ * @property machine what the machine permits the process.
  */
 public data class EntryHostSettings(
     public val self: EntryHostProfile,
@@ -29,4 +31,5 @@
     public val shutdownGrace: Duration,
     public val directoryTimeToLive: Duration,
     public val settlingTime: Duration,
+    public val machine: MachineLimits = MachineLimits(),
 )
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/limits/ConnectionGroup.kt
@@ -0,0 +1,85 @@
+package org.buckthornwheel.forwarding.limits
+
+import io.netty.channel.Channel
+import org.buckthornwheel.api.MonotonicInstant
+import java.util.concurrent.ConcurrentHashMap
+
+/** A connection that may be closed to make room for another one. */
+internal interface EvictableConnection {
+    /** What the connection is good for; null while it has a request in progress. Read on any thread. */
+    val standing: ConnectionStanding?
+
+    /** Time of the last progress. Read on any thread. */
+    val lastProgress: MonotonicInstant
+
+    /** Closes the connection unless a request is in progress by now. Called on any thread. */
+    fun evict()
+}
+
+/** Standing of a connection without a request in progress, those first that are closed first. */
+internal enum class ConnectionStanding {
+    /** A request has begun to arrive, or the connection is about to be closed. */
+    UNFINISHED,
+
+    /** No request was read from it yet. */
+    UNUSED,
+
+    /** It waits for the next request. */
+    IDLE,
+}
+
+/**
+ * The open connections of a listener, at most [maximum] of them.
+ *
+ * If there are more, those that were without progress for longest are closed; if all have requests in progress, no more
+ * are accepted until one closes.
+ */
+internal class ConnectionGroup<T : EvictableConnection>(private val maximum: Int, private val limits: LimitLog) {
+    private val open: MutableSet<T> = ConcurrentHashMap.newKeySet()
+
+    /** The channel of the listener. */
+    @Volatile
+    var listener: Channel? = null
+
+    val size: Int get() = open.size
+
+    fun opened(connection: T) {
+        open += connection
+        if (size <= maximum) return
+        evictOldest()
+        if (size >= maximum + TOLERANCE) listener?.config()?.isAutoRead = false
+    }
+
+    fun closed(connection: T) {
+        open -= connection
+        if (size <= maximum) listener?.config()?.takeUnless { it.isAutoRead }?.isAutoRead = true
+    }
+
+    /** Makes room again if all had requests in progress when the last ones were accepted; called from time to time. */
+    fun relieve() {
+        if (size > maximum) evictOldest()
+    }
+
+    fun forEach(action: (T) -> Unit): Unit = open.forEach(action)
+
+    /** Closes a part of the connections at once, so that choosing them costs little for each. */
+    private fun evictOldest() {
+        val candidates = open.mapNotNull { connection -> connection.standing?.let { Candidate(connection, it) } }
+        val oldest = candidates.sortedWith(compareBy({ it.standing }, { it.lastProgress }))
+        oldest.take(size - maximum + maximum / BATCH_SHARE).forEach {
+            limits.record(Limit.CONNECTIONS)
+            it.connection.evict()
+        }
+    }
+
+    private inner class Candidate(val connection: T, val standing: ConnectionStanding) {
+        /** As it is now, since it may change while the candidates are sorted. */
+        val lastProgress: MonotonicInstant = connection.lastProgress
+    }
+
+    private companion object {
+        /** Connections beyond the maximum that may wait for others to be closed. */
+        const val TOLERANCE = 8
+        const val BATCH_SHARE = 32
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
@@ -1,69 +1,78 @@
 package org.buckthornwheel.forwarding.listener
 
 import io.netty.bootstrap.ServerBootstrap
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.RecvByteBufAllocator
 import io.netty.channel.ServerChannelRecvByteBufAllocator
+import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpObjectAggregator
-import io.netty.handler.codec.http.HttpResponseEncoder
-import io.netty.handler.codec.http.HttpServerCodec
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.forwarding.front.InboundConnection
-import org.buckthornwheel.forwarding.front.StrictRequestDecoder
+import org.buckthornwheel.forwarding.limits.ConnectionGroup
+import org.buckthornwheel.forwarding.limits.HostMemory
 import java.net.InetSocketAddress
 
+/** What the connections to [endpoint] share. */
+internal class EndpointListener(
+    val endpoint: HttpEndpoint,
+    val connections: ConnectionGroup<EndpointConnection>,
+    val memory: HostMemory,
+)
+
 /** Opens the listeners of a host on one event loop group. */
 internal class Listeners(private val group: EventLoopGroup) {
     /** Listens for requests to be proxied; [connect] creates the handler of each connection. */
     fun openProxy(
         address: NetworkAddress,
-        headerBytes: () -> Int,
+        connections: ConnectionGroup<*>,
         connect: (SocketChannel) -> InboundConnection,
-    ): OpenListener = listen(address) { channel ->
-        val connection = connect(channel)
-        channel.pipeline()
-            .addLast(BytesReceivedNotifier(connection))
-            .addLast(StrictRequestDecoder(headerBytes()))
-            .addLast(HttpResponseEncoder())
-            .addLast(connection)
-    }
+    ): OpenListener = listen(address, connections, REQUEST_BUFFERS) { it.pipeline().addLast(connect(it)) }
 
-    /** Listens for requests that [endpoint] serves. */
-    fun openEndpoint(address: NetworkAddress, endpoint: HttpEndpoint): OpenListener = listen(address) { channel ->
-        channel.pipeline()
-            .addLast(HttpServerCodec())
-            .addLast(HttpObjectAggregator(MAXIMUM_ENDPOINT_BODY_BYTES))
-            .addLast(EndpointHandler(endpoint))
-    }
+    /** Listens for requests that the endpoint of [listener] serves. */
+    fun openEndpoint(address: NetworkAddress, listener: EndpointListener): OpenListener =
+        listen(address, listener.connections, FixedRecvByteBufAllocator(ENDPOINT_BUFFER_BYTES)) { channel ->
+            channel.pipeline().addLast(EndpointConnection(channel, listener))
+        }
 
-    private fun listen(address: NetworkAddress, initialize: (SocketChannel) -> Unit): OpenListener {
+    private fun listen(
+        address: NetworkAddress,
+        connections: ConnectionGroup<*>,
+        buffers: RecvByteBufAllocator,
+        initialize: (SocketChannel) -> Unit,
+    ): OpenListener {
         val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_BACKLOG, OpenListener.BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE),
+            )
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, buffers)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel): Unit = initialize(channel)
             })
         KeepAliveOptions.set { option, value -> bootstrap.childOption(option, value) }
         val channel = bootstrap.bind(InetSocketAddress(address.host, address.port)).sync().channel()
+        connections.listener = channel
         return OpenListener(channel as NioServerSocketChannel)
     }
 
-    private class BytesReceivedNotifier(private val connection: InboundConnection) : ChannelInboundHandlerAdapter() {
-        override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            connection.onBytes()
-            context.fireChannelRead(message)
-        }
-    }
-
     private companion object {
-        const val BACKLOG = 1_024
-        const val MAXIMUM_ENDPOINT_BODY_BYTES = 65_536
+        /** Few, so that the limit of connections acts before many more are accepted. */
+        const val ACCEPTED_AT_ONCE = 64
+        const val ENDPOINT_BUFFER_BYTES = 2_048
+
+        /** Buffers of single reads; the largest one holds the longest head. */
+        val REQUEST_BUFFERS = AdaptiveRecvByteBufAllocator(64, 2_048, 16_384)
+
+        /** Unread bytes of a response at which reading from the target pauses and resumes. */
+        val WRITE_BUFFER = WriteBufferWaterMark(8_192, 32_768)
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -9,13 +10,17 @@
 import kotlin.time.toJavaDuration
 
 /**
- * Counters and latency histograms of request forwarding; [droppedLines] returns the number of lines dropped by the log.
+ * Counters and latency histograms of request forwarding; [droppedLines] returns the number of lines dropped by the log,
+ * and [limitMeters] adds what the limits of memory and connections report.
  *
  * They are created at first use, since creating the registry takes a sixth of a host's start and a standby host rarely
  * counts anything.
  */
-public class ForwardingMeters(private val droppedLines: () -> Long) {
-    private val meters by lazy { Meters(droppedLines) }
+public class ForwardingMeters internal constructor(
+    private val droppedLines: () -> Long,
+    private val limitMeters: (MeterRegistry) -> Unit,
+) {
+    private val meters by lazy { Meters(droppedLines).also { limitMeters(it.registry) } }
 
     /** Counts a new connection to a target. */
     internal fun connectionOpened(): Unit = meters.connections.increment()
