--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -95,7 +95,7 @@
         if (received.sharesMachine) context.replicas.recordSharedMachine()
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
-        relay = ResponseRelay(proxiedRequest, head)
+        relay = ResponseRelay(proxiedRequest, head, context.responseMemory)
         isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.waiting.WaitingLimits
+import org.buckthornwheel.forwarding.limits.MachineLimits
 import kotlin.time.Duration
 
 /**
@@ -17,6 +18,7 @@
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
  * @property revocationBound time within which a removed account key must stop working on all hosts; null for none.
+ * @property machine what the machine permits the process.
  */
 public data class EntryHostSettings(
     public val self: EntryHostProfile,
@@ -33,6 +35,7 @@
     public val settlingTime: Duration,
     public val revocationBound: Duration? = null,
     public val waiting: WaitingSettings = WaitingSettings(),
+    public val machine: MachineLimits = MachineLimits(),
 )
 
 /** Whether requests that find no place wait in an order. */
