Honour what replicas say in their responses: leaving, and a pause

Cause: the first header was not read; the second was read and not used. Reasons against a replica were flags beside each other, and the only replica left was used in spite of any of them. Change: ReplicaAdmission returns the reason for which a replica gets no new requests; those that the replica states are binding (decision 0010). Leaving belongs to a run, outlives its registration and is told to other hosts in heartbeats (field 9, absent by default). If all replicas pause, requests are rejected at once until the end of the first pause.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/overload/RetryDelay.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/overload/RetryDelay.kt
@@ -19,4 +19,11 @@
         val delay = maxOf(wait, targetLatency * MINIMUM_SHARE) + targetLatency * JITTER_SHARE * draw
         return minOf(delay, remaining * SHARE_OF_REMAINING)
     }
+
+    /**
+     * The delay before the caller's next attempt if no replica takes requests for [pause]. It is not limited by the
+     * caller's time, since an earlier attempt would certainly be rejected.
+     */
+    public fun afterPause(pause: Duration, targetLatency: Duration, draw: Double): Duration =
+        pause + targetLatency * JITTER_SHARE * draw
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -4,6 +4,7 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.decision.replica.ReplicaRestriction
 import org.buckthornwheel.decision.replica.ReplicaSnapshot
 import org.buckthornwheel.decision.routing.RendezvousHash
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,7 +37,11 @@
     )
 
     /** The usable replicas of the service, and the replica with the longest cached prefix of the prompt. */
-    private class Options(val usable: List<ReplicaSnapshot>, val cacheHolder: ReplicaSnapshot?)
+    private class Options(
+        val usable: List<ReplicaSnapshot>,
+        val cacheHolder: ReplicaSnapshot?,
+        val pausedUntil: MonotonicInstant?,
+    )
 
     /** The placement of [request] at [now]; [reachable] are the other regions that have a responding host. */
     public fun choose(
@@ -46,7 +51,9 @@
     ): PlacementDecision {
         val options = options(request, reachable, now)
         val usable = options.usable
-        if (usable.isEmpty()) return PlacementDecision.NoReplica
+        if (usable.isEmpty()) {
+            return options.pausedUntil?.let { PlacementDecision.Paused(it - now) } ?: PlacementDecision.NoReplica
+        }
         val preferred = preferredReplicas(request, usable)
         val best = usable
             .filter { queueLimits.hasCapacity(it, request) }
@@ -60,17 +67,31 @@
         val all = replicas.of(request.service).map { it.snapshot(request.parts, now) }
         val permitted = all.filter { isPermitted(it, request, reachable, now) }
         val usable = permitted.filterNot { it.isUnavailable }.ifEmpty { lastResort(permitted) }
-        return Options(usable, all.filter { canBeFetchedFrom(it, request) }.maxByOrNull { it.cachedTokens })
+        val cacheHolder = all.filter { canBeFetchedFrom(it, request) }.maxByOrNull { it.cachedTokens }
+        return Options(usable, cacheHolder, firstPauseEnd(permitted))
+    }
+
+    /** The end of the first pause if all of [permitted] are leaving or paused; null otherwise. */
+    private fun firstPauseEnd(permitted: List<ReplicaSnapshot>): MonotonicInstant? {
+        val staying = permitted.map { it.restriction }.filterNot { it.isLeaving() }
+        val pauses = staying.filterIsInstance<ReplicaRestriction.Paused>()
+        return pauses.minOfOrNull { it.until }?.takeIf { pauses.size == staying.size }
     }
 
+    private fun ReplicaRestriction?.isLeaving(): Boolean =
+        this == ReplicaRestriction.RegisteredAsLeaving || this == ReplicaRestriction.AnnouncedLeaving
+
     /** Cached prompts are fetched only from regions that may serve the request. */
     private fun canBeFetchedFrom(snapshot: ReplicaSnapshot, request: PlacementRequest): Boolean =
-        snapshot.cachedTokens >= MINIMUM_FETCHED_TOKENS && !snapshot.isUnavailable &&
+        snapshot.cachedTokens >= MINIMUM_FETCHED_TOKENS &&
+            (!snapshot.isUnavailable || snapshot.restriction == ReplicaRestriction.RegisteredAsLeaving) &&
             (request.homeRegions.isEmpty() || snapshot.replica.region in request.homeRegions)
 
     /** If a single replica is left, it is used although it is unavailable, since it may still respond now and then. */
-    private fun lastResort(unavailable: List<ReplicaSnapshot>): List<ReplicaSnapshot> =
-        if (unavailable.size > 1) emptyList() else unavailable
+    private fun lastResort(unavailable: List<ReplicaSnapshot>): List<ReplicaSnapshot> {
+        val willing = unavailable.filterNot { it.isBarred }
+        return if (willing.size > 1) emptyList() else willing
+    }
 
     private fun isPermitted(
         snapshot: ReplicaSnapshot,
@@ -79,7 +100,7 @@
         now: MonotonicInstant,
     ): Boolean {
         val replica = snapshot.replica
-        if (replica.isDraining || replica.id in request.excluded || replica.zone in request.closedZones) return false
+        if (replica.id in request.excluded || replica.zone in request.closedZones) return false
         if (request.homeRegions.isNotEmpty() && replica.region !in request.homeRegions) return false
         if (replica.region != region) return request.mayForward && replica.region in reachable && !snapshot.isCold
         return !snapshot.isCold || (snapshot.canSendColdRequest && coldReplicaPolicy.permits(replica, now))
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementDecision.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementDecision.kt
@@ -33,6 +33,9 @@
     /** All usable replicas are full; the first slot is expected to become free after [wait]. */
     public data class Full(public val wait: Duration) : PlacementDecision
 
+    /** All permitted replicas want no requests for now; the first of their pauses ends after [wait]. */
+    public data class Paused(public val wait: Duration) : PlacementDecision
+
     /** No permitted replica is usable. */
     public data object NoReplica : PlacementDecision
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -12,6 +12,11 @@
 public class ReplicaRegistry {
     private val states = ConcurrentHashMap<ReplicaId, ReplicaState>()
 
+    private val leaving = LeavingReplicas()
+
+    /** Replicas that said they want no requests and whose registration ended; the same run may be registered again. */
+    private val removed = ConcurrentHashMap<ReplicaId, ReplicaState>()
+
     @Volatile
     private var byService: Map<ServiceName, List<ReplicaState>> = emptyMap()
 
@@ -23,6 +28,8 @@
         val existing = states[replica.id]
         val state = existing ?: ReplicaState(replica, tokenCapacity).also { states[replica.id] = it }
         existing?.register(replica, tokenCapacity)
+        removed.remove(replica.id)?.let(state::adopt)
+        if (ReplicaRun(replica.id, replica.startedAt) in leaving) state.recordLeaving(replica.startedAt)
         if (coldUntil != null) state.markColdUntil(coldUntil)
         rebuildIndex()
     }
@@ -40,7 +47,31 @@
 
     /** Removes the replica [id]; requests in flight keep a reference to its state. */
     public fun remove(id: ReplicaId) {
-        if (states.remove(id) != null) rebuildIndex()
+        val state = states.remove(id) ?: return
+        if (state.hasAnnouncement) {
+            if (removed.size >= MAXIMUM_REMOVED) removed.keys.firstOrNull()?.let(removed::remove)
+            removed[id] = state
+        }
+        rebuildIndex()
+    }
+
+    /**
+     * Records that [run] announced that it is leaving, to this host at [at], or to another one if that is null. Returns
+     * false if it was known.
+     */
+    public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?): Boolean {
+        val isNew = leaving.add(run, at)
+        if (isNew) states[run.replica]?.recordLeaving(run.startedAt)
+        return isNew
+    }
+
+    /** The runs whose announcement other hosts should know at [now]. */
+    public fun leavingToReport(now: MonotonicInstant): List<ReplicaRun> = leaving.toReport(now)
+
+    /** Whether idle connections to the replica [id] are of no use, since it announced that it is leaving. */
+    public fun isLeaving(id: ReplicaId): Boolean {
+        val current = states[id]?.current ?: return false
+        return current.isDraining || ReplicaRun(id, current.startedAt) in leaving
     }
 
     /** The states of the replicas of [service]. */
@@ -65,6 +96,9 @@
     }
 
     private companion object {
+        /** Limit on memory. */
+        const val MAXIMUM_REMOVED = 256
+
         /** Replicas renew their entries every 1.2 s, and within two seconds of a store recovery (users' pages). */
         val REOPENED_ZONE_COLD_TIME = 3.seconds
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -41,9 +41,7 @@
     private var cache = PromptCache((tokenCapacity * PREFIX_CACHE_SHARE).toLong())
     private var averageServiceTime: Duration? = null
     private var slowness = 1.0
-    private var failures = 0
-    private var ejectedUntil: MonotonicInstant? = null
-    private var refusedUntil: MonotonicInstant? = null
+    private val admission = ReplicaAdmission()
     private var coldUntil: MonotonicInstant? = null
     private var nextColdRequestAt: MonotonicInstant? = null
     private var awaitingBytesSince: MonotonicInstant? = null
@@ -68,13 +66,36 @@
         }
         if (changed.startedAt != replica.startedAt) {
             cache.clear()
-            failures = 0
-            ejectedUntil = null
+            admission.restart()
             slowness = 1.0
         }
         replica = changed
     }
 
+    /** Records that the run that started at [startedAt] announced that it is leaving. */
+    public fun recordLeaving(startedAt: Long): Unit = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.recordLeaving()
+    }
+
+    /** Records that the run that started at [startedAt] wants no requests for [pause]. */
+    public fun recordPause(startedAt: Long, pause: Duration, now: MonotonicInstant): Unit = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.recordPause(pause, now)
+    }
+
+    /** Keeps what the replica said of itself in responses while it had the state [earlier], if it is the same run. */
+    internal fun adopt(earlier: ReplicaState): Unit = synchronized(lock) {
+        synchronized(earlier.lock) {
+            if (earlier.replica.startedAt == replica.startedAt) admission.adopt(earlier.admission)
+        }
+    }
+
+    /** Why the replica gets no new request at [now]; null if it may. */
+    public fun restriction(now: MonotonicInstant): ReplicaRestriction? =
+        synchronized(lock) { admission.restriction(replica, own.requests, isSilent(now), now) }
+
+    /** Whether the replica has said that it wants no requests, which is remembered after its registration ends. */
+    internal val hasAnnouncement: Boolean get() = synchronized(lock) { admission.hasAnnouncement }
+
     /** Marks the replica as cold until [until], unless it is known to be cold for longer. */
     public fun markColdUntil(until: MonotonicInstant): Unit = synchronized(lock) {
         if (isBefore(until, coldUntil)) return@synchronized
@@ -103,7 +124,7 @@
             cachedTokens = cache.cachedTokens(parts),
             averageServiceTime = averageServiceTime,
             slowness = slowness,
-            isUnavailable = isBefore(now, ejectedUntil) || isBefore(now, refusedUntil) || isSilent(now),
+            restriction = admission.restriction(replica, own.requests, isSilent(now), now),
             isCold = isBefore(now, coldUntil),
             canSendColdRequest = !isBefore(now, nextColdRequestAt),
         )
@@ -156,29 +177,21 @@
         awaitingBytesSince = if (own.requests == 0) null else now
         when (result) {
             ReplicaAttemptResult.ANSWERED -> recordSuccess(duration, ahead)
-            ReplicaAttemptResult.REFUSED -> refusedUntil = now + REFUSAL_COOLDOWN
-            ReplicaAttemptResult.ERROR, ReplicaAttemptResult.BROKEN -> recordFailure(now)
+            ReplicaAttemptResult.REFUSED -> admission.recordRefusal(now)
+            ReplicaAttemptResult.ERROR, ReplicaAttemptResult.BROKEN -> admission.recordFailure(now)
             ReplicaAttemptResult.ABANDONED -> Unit
         }
     }
 
     /** Averages the time for which a request occupies a slot, without its estimated wait for requests ahead of it. */
     private fun recordSuccess(duration: Duration, ahead: Int) {
-        failures = 0
+        admission.recordSuccess()
         val slots = maxOf(1, replica.slots)
         val service = duration * slots / maxOf(slots, ahead + 1)
         val average = averageServiceTime ?: service
         averageServiceTime = average + (service - average) * NEWEST_SAMPLE_WEIGHT
     }
 
-    private fun recordFailure(now: MonotonicInstant) {
-        failures += 1
-        if (failures >= FAILURES_TO_EJECT) {
-            val doublings = minOf(failures - FAILURES_TO_EJECT, MAXIMUM_EJECTION_DOUBLINGS)
-            ejectedUntil = now + BASE_EJECTION_TIME * (1 shl doublings)
-        }
-    }
-
     private fun totalLoad(now: MonotonicInstant): ReplicaLoad {
         var others = ReplicaLoad.NONE
         for (report in loadByHost.values) {
@@ -205,16 +218,6 @@
         /** Weight of the newest sample in a moving average, which makes about the last ten samples count. */
         const val NEWEST_SAMPLE_WEIGHT = 0.15
 
-        /** Consecutive failures that eject a replica; a single one may be caused by the request. */
-        const val FAILURES_TO_EJECT = 3
-        const val MAXIMUM_EJECTION_DOUBLINGS = 2
-
-        /** Time of the first ejection; short, so that a recovered replica is soon used again. */
-        val BASE_EJECTION_TIME = 1.seconds
-
-        /** Cooldown after a refusal: a few batch steps, during which a slot becomes free. */
-        val REFUSAL_COOLDOWN = 60.milliseconds
-
         /** Age above which another host's report is ignored; four of its reporting intervals. */
         val HOST_REPORT_VALIDITY = 1.seconds
 
@@ -236,7 +239,7 @@
  * @property cachedTokens leading tokens of the request's prompt that are estimated to be cached.
  * @property averageServiceTime average time for which a request occupies a slot; null before the first response.
  * @property slowness average ratio of the actual to the predicted time to the first event.
- * @property isUnavailable whether it is ejected, in cooldown after a refusal, or silent.
+ * @property restriction why it gets no new requests; null if it may get some.
  * @property canSendColdRequest whether the interval after the last request to the cold replica is over.
  */
 public data class ReplicaSnapshot(
@@ -246,10 +249,16 @@
     public val cachedTokens: Int,
     public val averageServiceTime: Duration?,
     public val slowness: Double,
-    public val isUnavailable: Boolean,
+    public val restriction: ReplicaRestriction?,
     public val isCold: Boolean,
     public val canSendColdRequest: Boolean,
 ) {
+    /** Whether it gets no new requests, unless it is the only one and did not say so itself. */
+    public val isUnavailable: Boolean get() = restriction != null
+
+    /** Whether it wants no more requests, so that it gets none even if it is the only one. */
+    public val isBarred: Boolean get() = restriction?.isBinding ?: false
+
     /** The average service time in milliseconds; [default] before the first response. */
     public fun averageServiceMilliseconds(default: Double): Double =
         averageServiceTime?.toDouble(DurationUnit.MILLISECONDS) ?: default
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -29,8 +29,15 @@
 /** Key of pooled connections; [owner] distinguishes targets that used the same address one after the other. */
 internal data class TargetKey(val address: NetworkAddress, val owner: String)
 
-/** The pool of [loop]; [onOpened] is called for each new connection. */
-internal class TargetPool(private val loop: EventLoop, private val onOpened: () -> Unit) {
+/**
+ * The pool of [loop]; [onOpened] is called for each new connection. Connections to targets that are [isLeaving] are not
+ * kept open.
+ */
+internal class TargetPool(
+    private val loop: EventLoop,
+    private val onOpened: () -> Unit,
+    private val isLeaving: (TargetKey) -> Boolean = { false },
+) {
     private val clock = MonotonicClock.SYSTEM
     private val limit = IdleLimit(DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN)
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
@@ -86,6 +93,7 @@
     }
 
     private fun isUsable(connection: TargetConnection, now: MonotonicInstant): Boolean {
+        if (isLeaving(connection.key)) return false
         val idleFor = connection.idleSince?.let { now - it } ?: return true
         val announced = connection.announcedIdle ?: return idleFor < limit.at(now)
         return idleFor < minOf(announced - IDLE_MARGIN, limit.at(now))
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -53,7 +53,9 @@
 /**
  * Metadata from the head of a response, besides its status.
  *
+ * @property retryAfter time for which a replica that rejects the request wants no other one; null if it is not given.
  * @property requestsAtReplica requests of all hosts that the replica runs or queues; null if it is not reported.
+ * @property isLeaving whether the replica announces that it is shutting down.
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
@@ -62,6 +64,7 @@
     public val isWrongReplica: Boolean,
     public val retryAfter: Duration?,
     public val requestsAtReplica: Int? = null,
+    public val isLeaving: Boolean = false,
 )
 
 /** Reads and writes the headers of a deployment. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -101,6 +101,7 @@
             is PlacementDecision.Local -> sendToReplica(decision, now)
             is PlacementDecision.Forward -> forward(decision, now)
             is PlacementDecision.Full -> waitOrReject(decision.wait, now)
+            is PlacementDecision.Paused -> rejectUntilPauseEnds(decision.wait, now)
             PlacementDecision.NoReplica -> waitOrReject(NO_REPLICA_RETRY_AFTER, now)
         }
     }
@@ -129,6 +130,15 @@
         placementTimer = loop.schedule(::place, PLACEMENT_RETRY_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Waits only for the end of a short pause; otherwise, the caller may use its time in another way. */
+    private fun rejectUntilPauseEnds(pause: Duration, now: MonotonicInstant) {
+        val isShort = now + pause < policy.arrivedAt + policy.targetLatency * MAXIMUM_WAIT_SHARE
+        if (isShort || hasBegunStream || history.mayHaveRun) return waitOrReject(pause, now)
+        val draw = ThreadLocalRandom.current().nextDouble()
+        val retryAfter = RetryDelay.afterPause(pause, policy.targetLatency, draw)
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "replicas asked for a pause", retryAfter)
+    }
+
     private fun sendToReplica(decision: PlacementDecision.Local, now: MonotonicInstant) {
         val state = context.replicas.find(decision.replica.id) ?: return place()
         if (history.count > 0 && !spendRetryBudget(now)) return giveUp("retry budget exhausted", NO_REPLICA_RETRY_AFTER)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -44,6 +44,7 @@
         prefillTokens = decision.missingTokens.toLong(),
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
+    private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id)
     private var connection: TargetConnection? = null
     private var isFramed = false
     private var relay: ResponseRelay? = null
@@ -66,7 +67,7 @@
         val replica = decision.replica
         pool.acquire(
             TargetKey(replica.address, replica.id.value),
-            use = { newConnection -> send(newConnection, headers, request) },
+            use = { newConnection -> sendOrWithdraw(pool, newConnection, headers, request) },
             fail = ::notSent,
         )
     }
@@ -94,6 +95,7 @@
         PeerEnvelope.remove(head.headers())
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
+        announcements.record(received, head.status())
         relay = ResponseRelay(proxiedRequest, head)
         isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
@@ -136,6 +138,21 @@
         broken(failure.reason, result)
     }
 
+    /** Sends the request elsewhere if the replica said that it wants none while the connection was opened. */
+    private fun sendOrWithdraw(
+        pool: TargetPool,
+        opened: TargetConnection,
+        headers: HttpHeaders,
+        request: ReceivedRequest,
+    ) {
+        val restriction = state.restriction(context.clock.now())?.takeIf { it.isAnnouncement }
+        if (isEnded || restriction == null) return send(opened, headers, request)
+        pool.release(opened)
+        end(ReplicaAttemptResult.ABANDONED)
+        log("not sent") { put("reason", restriction.source) }
+        proxiedRequest.onNotSent(decision.replica.id, null)
+    }
+
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
             context.log.write(LogPart.REQUEST, "connection unused") { put("request", proxiedRequest.metadata.id.value) }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -19,8 +19,10 @@
 import org.buckthornwheel.decision.quarantine.QuarantineChange
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.Replica
+import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.decision.startup.StartupAdmission
+import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.exchange.ClusterState
@@ -188,7 +190,9 @@
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
-        pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened) }
+        pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened, ::isLeaving) }
+
+    private fun isLeaving(key: TargetKey): Boolean = replicas.isLeaving(ReplicaId(key.owner))
 
     private fun callerStarter(loop: EventLoop, startup: StartupAdmission): RequestStarter =
         CallerRequestStarter(context, pool(loop), startup)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -76,6 +76,12 @@
 @Serializable
 internal data class Activity(@CborLabel(1) val work: List<ReplicaWork>, @CborLabel(2) val reads: List<ReplicaRead>)
 
+/** The run of a replica, which started at [startedAt] in Unix milliseconds. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class LeavingReplica(val replica: String, val startedAt: Long)
+
 /**
  * One heartbeat.
  *
@@ -84,6 +90,7 @@
  * @property activity the sender's use of the replicas; null if the receiver does not need it.
  * @property revision store revision up to which the sender knows all changes.
  * @property quarantine what the sender knows of crashed replicas and quarantined prompt parts; null for nothing.
+ * @property leaving replicas that announced to the sender that they are leaving; null for none.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -94,6 +101,7 @@
     @CborLabel(4) val activity: Activity? = null,
     @CborLabel(5) val revision: Long = 0,
     @CborLabel(6) val quarantine: QuarantineMessage? = null,
+    @CborLabel(9) val leaving: List<LeavingReplica>? = null,
 ) {
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = CODEC.encodeToByteArray(this)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -16,6 +16,7 @@
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.entry.KnownEntryHosts
+import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.buckthornwheel.decision.replica.PromptPart
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.ReplicaId
@@ -115,8 +116,12 @@
         activity,
         local.estate().revision,
         quarantineMessage,
+        leaving = ownLeaving().ifEmpty { null },
     )
 
+    private fun ownLeaving(): List<LeavingReplica> =
+        replicas.leavingToReport(clock.now()).map { LeavingReplica(it.replica.value, it.startedAt) }
+
     private fun write(address: NetworkAddress, heartbeat: Heartbeat) {
         val receiver = InetSocketAddress(address.host, address.port)
         channel.write(DatagramPacket(Unpooled.wrappedBuffer(heartbeat.encode()), receiver))
@@ -148,9 +153,21 @@
         }
         recovery.onHeartbeat(heartbeat.sender.host, heartbeat.revision, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
+        heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
         heartbeat.quarantine?.let { local.quarantine.receive(it, heartbeat.sender.name.value, now) }
     }
 
+    private fun recordLeaving(leaving: List<LeavingReplica>, sender: HostName) {
+        for (replica in leaving.take(MAXIMUM_LEAVING)) {
+            if (!replicas.recordLeaving(ReplicaRun(ReplicaId(replica.replica), replica.startedAt), at = null)) continue
+            log.write(LogPart.REPLICA, "announced leaving") {
+                put("replica", replica.replica)
+                put("run", replica.startedAt)
+                put("peer", sender.value)
+            }
+        }
+    }
+
     private fun applyActivity(sender: HostName, activity: Activity, now: MonotonicInstant) {
         val loads = activity.work.associate { work ->
             ReplicaId(work.replica) to ReplicaLoad(work.requests, work.tokens, work.prefillTokens)
@@ -181,6 +198,9 @@
         /** Interval between rounds: a sixth of the silence after which a host is considered dead. */
         const val INTERVAL_MILLISECONDS = 250L
 
+        /** Limit on what a damaged heartbeat can do. */
+        const val MAXIMUM_LEAVING = 64
+
         /** Number of rounds between heartbeats to those seed addresses that are not known hosts. */
         const val SEED_ROUNDS = 4
         val SEED_INTERVAL = 1.seconds
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -29,6 +29,9 @@
     /** Counts a request refused by a replica. */
     internal fun refused(): Unit = meters.refusals.increment()
 
+    /** Counts a pause that a replica asked for. */
+    internal fun paused(): Unit = meters.pauses.increment()
+
     /** Counts a response of a replica that broke off or was unusable. */
     internal fun broken(): Unit = meters.broken.increment()
 
@@ -51,6 +54,7 @@
     val connections = counter("buckthornwheel.target.connections")
     val sends = counter("buckthornwheel.target.sends")
     val refusals = counter("buckthornwheel.target.refusals")
+    val pauses = counter("buckthornwheel.target.pauses")
     val broken = counter("buckthornwheel.target.broken")
     val quarantined = counter("buckthornwheel.quarantine.rejections")
     val repeats = counter("buckthornwheel.target.repeats")
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
@@ -56,6 +56,20 @@
         expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
     }
 
+    /** Guards against hosts of the previous build taking those of this one for dead. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Test
+    fun `a host of the build without leaving replicas reads a heartbeat that has some`() {
+        val heartbeat = brief.copy(leaving = listOf(LeavingReplica("i-1", startedAt = 7)))
+        expectThat(Heartbeat.decode(heartbeat.encode())).isEqualTo(heartbeat)
+        val codec = Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
+        val read = codec.decodeFromByteArray<PreviousHeartbeat>(heartbeat.encode())
+        expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
+    }
+
     /** A heartbeat as the previous build defines it. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
