--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -14,6 +14,9 @@
     /** No target has a place; the first one is expected after [wait], or it is unknown when. */
     class NoPlace(val wait: Duration?) : PlacementResult
 
+    /** All replicas asked for a pause, the first of which ends after [wait]. */
+    class Paused(val wait: Duration) : PlacementResult
+
     /** A place exists, but is left to a request that waits for it. */
     data object Reserved : PlacementResult
 
@@ -39,6 +42,7 @@
             is PlacementDecision.Local -> toReplica(decision, now)
             is PlacementDecision.Forward -> toRegion(decision, now)
             is PlacementDecision.Full -> PlacementResult.NoPlace(decision.wait)
+            is PlacementDecision.Paused -> PlacementResult.Paused(decision.wait)
             PlacementDecision.NoReplica -> PlacementResult.NoPlace(wait = null)
         }
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -81,6 +81,7 @@
         when (val result = placement.next(now)) {
             is PlacementResult.Attempting -> begin(result, now)
             is PlacementResult.NoPlace -> waitOrReject(result.wait ?: NO_REPLICA_RETRY_AFTER, now)
+            is PlacementResult.Paused -> rejectUntilPauseEnds(result.wait, now)
             PlacementResult.Reserved -> Unit
             PlacementResult.RetryBudgetExhausted -> giveUp("retry budget exhausted", NO_REPLICA_RETRY_AFTER)
         }
@@ -98,6 +99,15 @@
         wait.onNoPlace(firstPlace, now)
     }
 
+    /** Waits only for the end of a short pause; otherwise, the caller may use its time in another way. */
+    private fun rejectUntilPauseEnds(pause: Duration, now: MonotonicInstant) {
+        val isShort = now + pause < policy.arrivedAt + policy.targetLatency * SHORT_PAUSE_SHARE
+        if (isShort || response.hasBegunStream || history.mayHaveRun) return waitOrReject(pause, now)
+        val draw = ThreadLocalRandom.current().nextDouble()
+        val retryAfter = RetryDelay.afterPause(pause, policy.targetLatency, draw)
+        response.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "replicas asked for a pause", retryAfter)
+    }
+
     override fun onWaitEnded(reason: String, wait: Duration, retryAfter: Duration?): Unit =
         giveUp(reason, wait, retryAfter)
 
@@ -222,6 +232,9 @@
         /** Retry-After while no replica is usable. */
         val NO_REPLICA_RETRY_AFTER = 300.milliseconds
 
+        /** Share of the target latency that a request waits for replicas that asked for a pause. */
+        const val SHORT_PAUSE_SHARE = 0.125
+
         /** Retry-After when replicas refused the request. */
         val REFUSED_RETRY_AFTER = 100.milliseconds
 
