Findings of the linter in the parts of client accounts

Cause: one constructor with too many parameters and lines over 120 characters. Change: ClusterState holds whether the manifest is current; lines are wrapped. The linter's last finding, one comment line, is wrapped here; the linter was not run again after that.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/account/AccountDirectory.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/account/AccountDirectory.kt
@@ -10,9 +10,9 @@
 /**
  * The client accounts of a manifest by their keys.
  *
- * The index holds a digest of each key under a [secret] that callers cannot know, and compares whole digests in constant
- * time. The duration of a lookup therefore says nothing about how much of a guessed key is right, and callers cannot
- * choose keys that share a place in the index. A key that several accounts declare belongs to none of them.
+ * The index holds a digest of each key under a [secret] that callers cannot know, and compares whole digests in
+ * constant time. The duration of a lookup therefore says nothing about how much of a guessed key is right, and callers
+ * cannot choose keys that share a place in the index. A key that several accounts declare belongs to none of them.
  *
  * @param secret random bytes that stay in this process.
  */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/account/RevocationGuard.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/account/RevocationGuard.kt
@@ -24,9 +24,9 @@
  * from the store. A read of the store that was answered shows that the manifest was current when the read was **sent**.
  * The guard closes when that is longer ago than [SHARE_OF_BOUND] of [bound]; it is closed until the first such read.
  *
- * The age counts by the steady clock, plus every advance of the time of day beyond it, since the steady clock misses the
- * time for which a machine is suspended. Setting the time of day forward therefore closes the guard until a later read
- * is answered; setting it back never extends it. Thread-safe.
+ * The age counts by the steady clock, plus every advance of the time of day beyond it, since the steady clock misses
+ * the time for which a machine is suspended. Setting the time of day forward therefore closes the guard until a later
+ * read is answered; setting it back never extends it. Thread-safe.
  */
 public class RevocationGuard(public val bound: Duration) {
     /** A read of the store that was sent. */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/AccountPriorities.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/AccountPriorities.kt
@@ -5,9 +5,9 @@
 /**
  * Orders requests first by the priority of their account, then by that of their route.
  *
- * The account's priority takes precedence, but does not replace the route's: among accounts of equal priority, which may
- * be all, the more urgent kind of request still comes first. If all accounts have the same priority, the result is the
- * route's priority. An account without a priority comes after those with one.
+ * The account's priority takes precedence, but does not replace the route's: among accounts of equal priority, which
+ * may be all, the more urgent kind of request still comes first. If all accounts have the same priority, the result is
+ * the route's priority. An account without a priority comes after those with one.
  */
 public class AccountPriorities(accounts: List<ClientAccount>, routes: List<Route>) {
     private val accountLevels: Map<Int?, Int> =
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -27,23 +27,27 @@
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
-    val currency: ManifestCurrency,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
     val quarantine: PromptPartQuarantine get() = clusterState.quarantine
+    val currency: ManifestCurrency get() = clusterState.currency
     val log: DecisionLog get() = observability.log
     val meters: ForwardingMeters get() = observability.meters
 }
 
-/** The host's view of manifest and replicas, the recent prefills that it reports, and the quarantined prompt parts. */
+/**
+ * The host's view of manifest and replicas, the recent prefills that it reports, the quarantined prompt parts, and
+ * whether the manifest is current.
+ */
 internal class ClusterState(
     val routingState: RoutingState,
     val replicas: ReplicaRegistry,
     val reads: RecentPrefills,
     val quarantine: PromptPartQuarantine,
+    val currency: ManifestCurrency,
 )
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -99,7 +99,7 @@
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
     private val context = ForwardingContext(
         dialect = dialect,
-        clusterState = ClusterState(routingState, replicas, reads, quarantine),
+        clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
         hosts = hosts,
         placement = Placement(
             Distances(
@@ -126,7 +126,6 @@
         observability = Observability(log, meters),
         shutdown = shutdown,
         clock = clock,
-        currency = currency,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerConnections = InboundConnections(shutdown)
