--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
+import org.buckthornwheel.decision.memory.MemoryBudget
+import org.buckthornwheel.decision.memory.Reservation
 import org.buckthornwheel.forwarding.dialect.HopByHopHeaders
 
 /** What a part of a response contributed to it. */
@@ -30,14 +32,17 @@
     TOO_LONG,
 }
 
-/** Relays the response with the given [head] to the caller of [proxiedRequest]. */
-internal class ResponseRelay(private val proxiedRequest: ProxiedRequest, head: HttpResponse) {
+/** Relays the response with the given [head] to the caller of [proxiedRequest]; buffers within [memory]. */
+internal class ResponseRelay(proxiedRequest: ProxiedRequest, head: HttpResponse, memory: MemoryBudget) {
+    private val response = proxiedRequest.response
     val status: HttpResponseStatus = head.status()
     private val headers: HttpHeaders = head.headers().copy().also(HopByHopHeaders::strip)
     private val isStream = proxiedRequest.policy.isStreaming && status.code() == HttpResponseStatus.OK.code()
     private val eventParser = EventStreamParser()
     private var buffered: CompositeByteBuf? = if (isStream) null else Unpooled.compositeBuffer(MAXIMUM_COMPONENTS)
 
+    private val reservation = Reservation(memory)
+
     /** Whether streaming to the caller has begun. */
     var hasBegun: Boolean = false
         private set
@@ -47,11 +52,11 @@
         if (isStream) return addEvents(content)
         val body = buffered
         if (body == null) {
-            proxiedRequest.streamBytes(content)
+            response.streamBytes(content)
             return RelayResult.USABLE
         }
         body.addComponent(true, content)
-        if (body.readableBytes() <= MAXIMUM_BUFFERED_BYTES || proxiedRequest.hasBegunStream) return RelayResult.USABLE
+        if (mayBuffer(body.readableBytes()) || response.hasBegunStream) return RelayResult.USABLE
         if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
         streamBuffered(body)
         return RelayResult.USABLE
@@ -64,24 +69,33 @@
     fun complete() {
         if (isStream) return completeStream()
         val body = buffered
-        if (body == null) return proxiedRequest.endStream(status.code())
+        if (body == null) return response.endStream(status.code())
         buffered = null
+        reservation.close()
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        proxiedRequest.respond(status, headers, body)
+        response.respond(status, headers, body)
     }
 
     /** Releases the buffered body and the incomplete event. */
     fun discard() {
         buffered?.release()
         buffered = null
+        reservation.close()
         eventParser.discardRemainder()
     }
 
+    /** A short error response is buffered in any case, since it cannot be streamed. */
+    private fun mayBuffer(length: Int): Boolean = when {
+        length > MAXIMUM_BUFFERED_BYTES -> false
+        reservation.tryResize(length.toLong()) -> true
+        else -> status.codeClass() != HttpStatusClass.SUCCESS && length <= SHORT_ERROR_BYTES
+    }
+
     private fun addEvents(content: ByteBuf): RelayResult {
         val events = eventParser.add(content)
         for (event in events) {
             begin()
-            proxiedRequest.streamEvent(event)
+            response.streamEvent(event)
         }
         return when {
             eventParser.isEventTooLong -> RelayResult.TOO_LONG
@@ -92,21 +106,22 @@
 
     private fun completeStream() {
         begin()
-        proxiedRequest.streamBytes(eventParser.takeRemainder())
-        proxiedRequest.endStream(status.code())
+        response.streamBytes(eventParser.takeRemainder())
+        response.endStream(status.code())
     }
 
     private fun streamBuffered(body: ByteBuf) {
         begin()
         buffered = null
-        proxiedRequest.streamBytes(body)
+        reservation.close()
+        response.streamBytes(body)
     }
 
     private fun begin() {
         if (hasBegun) return
         hasBegun = true
         headers.remove(HttpHeaderNames.CONTENT_LENGTH)
-        proxiedRequest.beginStream(status, headers)
+        response.beginStream(status, headers)
     }
 
     private companion object {
@@ -115,6 +130,7 @@
          * users' data sheets are below 5 kB.
          */
         const val MAXIMUM_BUFFERED_BYTES = 262_144
+        const val SHORT_ERROR_BYTES = 16_384
         const val MAXIMUM_COMPONENTS = 1_024
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -2,6 +2,8 @@
 
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.decision.waiting.WaitingLimits
+import org.buckthornwheel.forwarding.limits.MachineLimits
 import kotlin.time.Duration
 
 /**
@@ -16,6 +18,7 @@
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
  * @property revocationBound time within which a removed account key must stop working on all hosts; null for none.
+ * @property machine what the machine permits the process.
  */
 public data class EntryHostSettings(
     public val self: EntryHostProfile,
@@ -31,4 +34,24 @@
     public val directoryTimeToLive: Duration,
     public val settlingTime: Duration,
     public val revocationBound: Duration? = null,
+    public val waiting: WaitingSettings = WaitingSettings(),
+    public val machine: MachineLimits = MachineLimits(),
+)
+
+/** Whether requests that find no place wait in an order. */
+public enum class WaitingOrder {
+    /** They do if callers send on behalf of accounts, or if replicas report that they share their machines. */
+    AUTOMATIC,
+
+    /** They always do. */
+    ORDERED,
+
+    /** They look for a place at intervals, in no order, for an eighth of their target latency. */
+    UNORDERED,
+}
+
+/** How requests wait for places; [limits] bounds the queue of each service. */
+public data class WaitingSettings(
+    public val order: WaitingOrder = WaitingOrder.AUTOMATIC,
+    public val limits: WaitingLimits = WaitingLimits(),
 )
