--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -104,7 +104,7 @@
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
     private val context = ForwardingContext(
         dialect = dialect,
-        clusterState = ClusterState(routingState, replicas, reads, quarantine),
+        clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
         hosts = hosts,
         placement = Placement(
             Distances(
@@ -131,7 +131,6 @@
         observability = observability,
         shutdown = shutdown,
         clock = clock,
-        currency = currency,
         queues = PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder),
         responseMemory = limits.memory.responses,
     )
