--- a/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/PlacePace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/PlacePace.kt
@@ -51,7 +51,8 @@
     fun timeFor(amount: WorkAmount, rank: Int, now: MonotonicInstant): Duration {
         if (amount.requests <= 0.0) return Duration.ZERO
         val known = perSecond(rank, now)
-        val coming = possibleStart(now) / maxOf(observedSeconds, SHORTEST_SECONDS)
+        val unseen = maxOf(0.0, 1 - known.requests * observedSeconds)
+        val coming = unseen * possibleStart(now) / maxOf(observedSeconds, SHORTEST_SECONDS)
         val requestsPerSecond = known.requests + coming
         val workPerSecond = known.work + coming * amount.work / amount.requests
         return maxOf(amount.requests / requestsPerSecond, amount.work / workPerSecond).seconds
@@ -76,8 +77,8 @@
     }
 
     /**
-     * The start that may be about to come: a short time without a start does not show that there are no places, a long
-     * one does.
+     * The start that may be about to come where none was seen: a short time without a start does not show that there
+     * are no places, a long one does.
      */
     private fun possibleStart(now: MonotonicInstant): Double {
         val from = waitingSince ?: now
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitingQueue.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitingQueue.kt
@@ -12,8 +12,8 @@
  * the order of the queue, and ends when no waiting request has found a place. Therefore, no request takes a place for
  * which a more urgent or an older one waits, and no more requests are woken than there are places, but for the last.
  *
- * Each ticket leaves the queue exactly once: it starts, leaves, is removed by a review, or is displaced by a more urgent
- * newcomer. Thread-safe; wakes nobody itself, but returns the tickets to wake.
+ * Each ticket leaves the queue exactly once: it starts, leaves, is removed by a review, or is displaced by a more
+ * urgent newcomer. Thread-safe; wakes nobody itself, but returns the tickets to wake.
  */
 public class WaitingQueue<T>(private val limits: WaitingLimits) {
     private val lock = Any()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -21,18 +21,19 @@
     val dialect: RequestDialect,
     private val clusterState: ClusterState,
     val hosts: KnownEntryHosts,
-    val placement: Placement,
+    private val places: Places,
     val retries: Retries,
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
-    val queues: PlaceQueues,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
     val quarantine: PromptPartQuarantine get() = clusterState.quarantine
+    val placement: Placement get() = places.placement
+    val queues: PlaceQueues get() = places.queues
     val log: DecisionLog get() = observability.log
     val meters: ForwardingMeters get() = observability.meters
 }
@@ -45,6 +46,9 @@
     val quarantine: PromptPartQuarantine,
 )
 
+/** The choice of places, and the queues of requests that wait for one. */
+internal class Places(val placement: Placement, val queues: PlaceQueues)
+
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
     fun recordRequest(service: ServiceName, now: MonotonicInstant): Unit = budget.recordRequest(service, now)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
@@ -39,8 +39,8 @@
     private val timeLimits = CallerTimeLimits()
 
     /**
-     * The queue in which a request of [policy] waits; null if it looks for a place at intervals. Once some requests of a
-     * service wait in order, all do.
+     * The queue in which a request of [policy] waits; null if it looks for a place at intervals. Once some requests of
+     * a service wait in order, all do.
      */
     fun of(policy: RequestPolicy): PlaceQueue? =
         queues[policy.service] ?: if (isOrdered(policy)) queue(policy.service) else null
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -28,6 +28,7 @@
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.exchange.Observability
 import org.buckthornwheel.forwarding.exchange.PlaceQueues
+import org.buckthornwheel.forwarding.exchange.Places
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
@@ -97,22 +98,23 @@
     private val reads = RecentPrefills()
     private val quarantine = PromptPartQuarantine()
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
+    private val placement = Placement(
+        Distances(
+            settings.self.region,
+            settings.self.zone,
+            CROSS_ZONE_ROUND_TRIP_MILLISECONDS,
+            CROSS_REGION_ROUND_TRIP_MILLISECONDS,
+        ),
+        replicas,
+        coldReplicaPolicy = { replica, now ->
+            !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
+        },
+    )
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads, quarantine),
         hosts = hosts,
-        placement = Placement(
-            Distances(
-                settings.self.region,
-                settings.self.zone,
-                CROSS_ZONE_ROUND_TRIP_MILLISECONDS,
-                CROSS_REGION_ROUND_TRIP_MILLISECONDS,
-            ),
-            replicas,
-            coldReplicaPolicy = { replica, now ->
-                !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
-            },
-        ),
+        places = Places(placement, PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder)),
         retries = Retries(
             WindowedRetryBudget(
                 settings.retryRatio,
@@ -126,7 +128,6 @@
         observability = observability,
         shutdown = shutdown,
         clock = clock,
-        queues = PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder),
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerConnections = InboundConnections(shutdown)
