--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -23,20 +23,22 @@
     val dialect: RequestDialect,
     private val clusterState: ClusterState,
     val hosts: KnownEntryHosts,
-    val placement: Placement,
-    val retries: Retries,
+    private val places: Places,
+    private val budgets: Budgets,
     private val observability: Observability,
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
-    val queues: PlaceQueues,
-    val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
-    val responseMemory: MemoryBudget,
 ) {
+    val retries: Retries get() = budgets.retries
+    val quotas: AccountQuotas get() = budgets.quotas
+    val responseMemory: MemoryBudget get() = budgets.responseMemory
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
     val quarantine: PromptPartQuarantine get() = clusterState.quarantine
     val currency: ManifestCurrency get() = clusterState.currency
+    val placement: Placement get() = places.placement
+    val queues: PlaceQueues get() = places.queues
     val log: DecisionLog get() = observability.log
     val meters: ForwardingMeters get() = observability.meters
 }
@@ -53,6 +55,16 @@
     val currency: ManifestCurrency,
 )
 
+/** The choice of places, and the queues of requests that wait for one. */
+internal class Places(val placement: Placement, val queues: PlaceQueues)
+
+/** What this host may give out: retries, units of its accounts' limits, and memory for responses. */
+internal class Budgets(
+    val retries: Retries,
+    val quotas: AccountQuotas,
+    val responseMemory: MemoryBudget,
+)
+
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
     fun recordRequest(service: ServiceName, now: MonotonicInstant): Unit = budget.recordRequest(service, now)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.decision.account.AccountQuotas
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
@@ -25,11 +26,13 @@
 import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
+import org.buckthornwheel.forwarding.exchange.Budgets
 import org.buckthornwheel.forwarding.exchange.ClusterState
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
 import org.buckthornwheel.forwarding.exchange.HostShutdown
 import org.buckthornwheel.forwarding.exchange.Observability
 import org.buckthornwheel.forwarding.exchange.PlaceQueues
+import org.buckthornwheel.forwarding.exchange.Places
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
@@ -102,37 +105,40 @@
     private val reads = RecentPrefills()
     private val quarantine = PromptPartQuarantine()
     private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
+    private val placement = Placement(
+        Distances(
+            settings.self.region,
+            settings.self.zone,
+            CROSS_ZONE_ROUND_TRIP_MILLISECONDS,
+            CROSS_REGION_ROUND_TRIP_MILLISECONDS,
+        ),
+        replicas,
+        coldReplicaPolicy = { replica, now ->
+            !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
+        },
+    )
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
         hosts = hosts,
-        placement = Placement(
-            Distances(
-                settings.self.region,
-                settings.self.zone,
-                CROSS_ZONE_ROUND_TRIP_MILLISECONDS,
-                CROSS_REGION_ROUND_TRIP_MILLISECONDS,
-            ),
-            replicas,
-            coldReplicaPolicy = { replica, now ->
-                !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
-            },
-        ),
-        retries = Retries(
-            WindowedRetryBudget(
-                settings.retryRatio,
-                settings.retryAllowance,
-                settings.retryWindow,
-                RETRY_RATIO_SHARE,
-                RETRY_ALLOWANCE_SHARE,
+        places = Places(placement, PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder)),
+        budgets = Budgets(
+            Retries(
+                WindowedRetryBudget(
+                    settings.retryRatio,
+                    settings.retryAllowance,
+                    settings.retryWindow,
+                    RETRY_RATIO_SHARE,
+                    RETRY_ALLOWANCE_SHARE,
+                ),
+                sharedBudgets,
             ),
-            sharedBudgets,
+            AccountQuotas.UNLIMITED,
+            limits.memory.responses,
         ),
         observability = observability,
         shutdown = shutdown,
         clock = clock,
-        queues = PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder),
-        responseMemory = limits.memory.responses,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
