Quarantine whole requests that crash replicas

Cause: only shared prompt parts were evidence. Requests that crash replicas share them with sound ones, and each attempt of their callers has another request id. Change: the content of a request is one more suspect of the same quarantine (decision 0011): host, method, path and all prompt parts, or the body. Three crashes quarantine it; after two, hosts do not retry it and hold new attempts until reports of a third crash have arrived. Its crashes count once against shared parts; a part released by mistake is cleared for longer. Result: DeadlyRequestTransportTest red before (24 arrivals of one request on, in both cases) and green after; DeadlyRequestTest plays 150 simulations; PromptPartQuarantineTest and DeadlyPromptPartTest green.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/CrashAttribution.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/CrashAttribution.kt
@@ -1,7 +1,6 @@
 package org.buckthornwheel.decision.quarantine
 
 import org.buckthornwheel.api.MonotonicInstant
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Finds the prompt parts that crash replicas.
@@ -11,15 +10,20 @@
  * completed elsewhere, before or after.
  */
 internal object CrashAttribution {
-    /** The parts that explain the [crashes], with the runs that each of them crashed. */
+    /**
+     * The parts that explain the [crashes], with the runs that each of them crashed. [requestOf] is the whole request
+     * that is already known to have crashed a run: its crashes count once, since what caused them may not be in the
+     * part, and only against parts that were in progress in all of them, as its own parts were.
+     */
     fun responsibleParts(
         crashes: List<ReplicaCrash>,
-        lastCompletion: (String) -> MonotonicInstant?,
+        completed: CompletedParts,
+        requestOf: (ReplicaRun) -> String?,
     ): Map<String, List<ReplicaRun>> {
         val responsible = LinkedHashMap<String, List<ReplicaRun>>()
-        var unexplained = crashes.map { it.copy(suspects = suspects(it, lastCompletion)) }
+        var unexplained = crashes.map { it.copy(suspects = suspects(it, completed)) }
         while (true) {
-            val found = candidates(unexplained, lastCompletion).minWithOrNull(MOST_LIKELY) ?: return responsible
+            val found = candidates(unexplained, completed, requestOf).minWithOrNull(MOST_LIKELY) ?: return responsible
             responsible[found.part] = found.runs
             unexplained = unexplained.filterNot { found.part in it.suspects }
         }
@@ -39,28 +43,34 @@
 
     private fun candidates(
         crashes: List<ReplicaCrash>,
-        lastCompletion: (String) -> MonotonicInstant?,
+        completed: CompletedParts,
+        requestOf: (ReplicaRun) -> String?,
     ): List<Candidate> = crashes.flatMap { it.suspects.keys }.toSet()
         .associateWith { part -> crashes.filter { part in it.suspects } }
-        .filterValues { it.size >= MINIMUM_CRASHES }
+        .filterValues { it.size >= MINIMUM_CRASHES && countOf(it, crashes, requestOf) >= MINIMUM_CRASHES }
         .map { (part, found) ->
             val position = found.maxOf { it.suspects.getValue(part) }
-            Candidate(part, lastCompletion(part), position, found.map { it.run })
+            Candidate(part, completed.lastCompletion(part), position, found.map { it.run })
         }
 
+    /** The number of causes that the [found] ones among [crashes] have at least. */
+    private fun countOf(
+        found: List<ReplicaCrash>,
+        crashes: List<ReplicaCrash>,
+        requestOf: (ReplicaRun) -> String?,
+    ): Int {
+        val (unknown, known) = found.groupBy { requestOf(it.run) }.entries.partition { it.key == null }
+        val crashesOfRequest = crashes.groupingBy { requestOf(it.run) }.eachCount()
+        return unknown.sumOf { it.value.size } + known.count { (request, own) -> own.size == crashesOfRequest[request] }
+    }
+
     /** The number of [crashes] in which [part] is a suspect. */
-    fun crashesOf(part: String, crashes: List<ReplicaCrash>, lastCompletion: (String) -> MonotonicInstant?): Int =
-        crashes.count { part in it.suspects && !isCleared(part, it.at, lastCompletion) }
+    fun crashesOf(part: String, crashes: List<ReplicaCrash>, completed: CompletedParts): Int =
+        crashes.count { part in it.suspects && !completed.clears(part, it.at) }
 
     /** The parts that may be responsible for [crash]. */
-    fun suspects(crash: ReplicaCrash, lastCompletion: (String) -> MonotonicInstant?): Map<String, Int> =
-        crash.suspects.filterKeys { !isCleared(it, crash.at, lastCompletion) }
-
-    private fun isCleared(
-        part: String,
-        crashedAt: MonotonicInstant,
-        lastCompletion: (String) -> MonotonicInstant?,
-    ): Boolean = lastCompletion(part)?.let { it - crashedAt > -CLEARED_FOR } ?: false
+    fun suspects(crash: ReplicaCrash, completed: CompletedParts): Map<String, Int> =
+        crash.suspects.filterKeys { !completed.clears(it, crash.at) }
 
     private val MOST_LIKELY: Comparator<Candidate> =
         compareBy<Candidate> { it.lastCompletion ?: MonotonicInstant(Long.MIN_VALUE) }
@@ -69,10 +79,4 @@
 
     /** Fewer crashes may coincide by chance, since a lost request is retried at a replica that crashes too. */
     const val MINIMUM_CRASHES = 3
-
-    /**
-     * Time for which a completed request clears its parts. Long enough for several replicas to crash together and again
-     * after their restart, before any request is completed.
-     */
-    private val CLEARED_FOR = 5.seconds
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -22,6 +22,7 @@
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
 import org.buckthornwheel.decision.quarantine.QuarantineAdmission
+import org.buckthornwheel.decision.quarantine.RequestIdentity
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestMetadata
@@ -58,7 +59,7 @@
     val isRetry: Boolean get() = history.count > 1
 
     /** Whether prompt parts of the request are quarantined. */
-    val quarantine = QuarantineCheck(context, request.metadata)
+    val quarantine = QuarantineCheck(context, request)
 
     private val stream = CallerStream(sink)
     private val history = AttemptHistory(request.policy.maximumAttempts)
@@ -96,6 +97,8 @@
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
         quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
+        val delay = policy.arrivedAt + quarantine.delay() - now
+        if (delay > Duration.ZERO) return placeLater(delay)
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
         when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
             is PlacementDecision.Local -> sendToReplica(decision, now)
@@ -130,6 +133,10 @@
         placementTimer = loop.schedule(::place, PLACEMENT_RETRY_INTERVAL.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    private fun placeLater(delay: Duration) {
+        placementTimer = loop.schedule(::place, delay.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+    }
+
     /** Waits only for the end of a short pause; otherwise, the caller may use its time in another way. */
     private fun rejectUntilPauseEnds(pause: Duration, now: MonotonicInstant) {
         val isShort = now + pause < policy.arrivedAt + policy.targetLatency * MAXIMUM_WAIT_SHARE
@@ -233,7 +240,8 @@
 
     private fun rejectQuarantined(rejection: QuarantineAdmission.Rejected, now: MonotonicInstant) {
         context.meters.quarantined()
-        val reason = "quarantined prompt part ${rejection.part}"
+        val kind = if (RequestIdentity.isRequest(rejection.part)) "request" else "prompt part"
+        val reason = "quarantined $kind ${rejection.part}"
         if (hasBegunStream) return abort(reason)
         if (history.mayHaveRun) return reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
         isRejectedForGood = true
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -133,7 +133,9 @@
 
     override fun onFailure(failure: ConnectionFailure) {
         if (isEnded) return
-        if (failure.isConnectionLost) proxiedRequest.quarantine.recordLoss(run, isCertain = true, context.clock.now())
+        if (failure.isConnectionLost) {
+            proxiedRequest.quarantine.recordLoss(run, isCertain = true, context.clock.now(), failure.isStale)
+        }
         val result = if (failure.isStale) ReplicaAttemptResult.ABANDONED else ReplicaAttemptResult.BROKEN
         broken(failure.reason, result)
     }
@@ -228,6 +230,7 @@
             put("run", decision.replica.startedAt)
             put("begun", hasStartedResponding)
             put("parts", sharedPartsText())
+            put("content", proxiedRequest.quarantine.identityText())
             put("milliseconds", (context.clock.now() - startedAt).inWholeMilliseconds)
         }
         proxiedRequest.onFailed(decision.replica.id, null, reason, HttpResponseStatus.BAD_GATEWAY)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -130,7 +130,7 @@
     private val callerConnections = InboundConnections(shutdown)
     private val peerConnections = InboundConnections(shutdown)
     private val quarantineSharing =
-        QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine) { onQuarantineDecision(it) }
+        QuarantineSharing(quarantine, replicas, log, ::isRecorder, ::recheckQuarantine) { onQuarantineDecision(it) }
     private val heartbeats = HeartbeatService(
         settings.self,
         hosts,
@@ -204,6 +204,8 @@
     private fun isColdRateLimited(replica: Replica): Boolean =
         (routingState.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
 
+    private fun isRecorder(suspect: String): Boolean = hosts.mayProbe(suspect, clock.now())
+
     private fun recheckQuarantine() {
         callerConnections.recheckQuarantine()
         peerConnections.recheckQuarantine()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -78,8 +78,13 @@
         val work = ownWork()
         val activity = Activity(work, ownReads(now))
         val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
+        val isUrgent = local.quarantine.takeUrgency()
         for ((host, interval) in intervals) {
-            if (isDue(host, interval)) send(host, interval, activity.takeIf { interval <= ACTIVITY_INTERVAL })
+            if (isUrgent ||
+                isDue(host, interval)
+            ) {
+                send(host, interval, activity.takeIf { interval <= ACTIVITY_INTERVAL })
+            }
         }
         if (rounds % SEED_ROUNDS == 0) sendToSeedAddresses(intervals.keys.mapTo(HashSet()) { it.peerAddress })
         rounds += 1
