--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -59,11 +59,7 @@
 internal class Places(val placement: Placement, val queues: PlaceQueues)
 
 /** What this host may give out: retries, units of its accounts' limits, and memory for responses. */
-internal class Budgets(
-    val retries: Retries,
-    val quotas: AccountQuotas,
-    val responseMemory: MemoryBudget,
-)
+internal class Budgets(val retries: Retries, val quotas: AccountQuotas, val responseMemory: MemoryBudget)
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -13,6 +13,7 @@
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.overload.RetryDelay
 import org.buckthornwheel.decision.quarantine.QuarantineAdmission
+import org.buckthornwheel.decision.quarantine.RequestIdentity
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestMetadata
@@ -36,7 +37,7 @@
     val isRetry: Boolean get() = history.count > 1
 
     /** Whether prompt parts of the request are quarantined. */
-    val quarantine = QuarantineCheck(context, request.metadata)
+    val quarantine = QuarantineCheck(context, request)
 
     private val history = AttemptHistory(request.policy.maximumAttempts)
 
@@ -49,6 +50,7 @@
     private val placement = PlacementStep(context, pool, request, history, this, wait)
     private var attempt: Attempt? = null
     private var deadlineTimer: ScheduledFuture<*>? = null
+    private var placementTimer: ScheduledFuture<*>? = null
 
     fun start() {
         val now = context.clock.now()
@@ -77,6 +79,8 @@
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
         quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
+        val delay = policy.arrivedAt + quarantine.delay() - now
+        if (delay > Duration.ZERO) return placeLater(delay)
         if (!wait.mayTry(now)) return
         when (val result = placement.next(now)) {
             is PlacementResult.Attempting -> begin(result, now)
@@ -99,6 +103,10 @@
         wait.onNoPlace(firstPlace, now)
     }
 
+    private fun placeLater(delay: Duration) {
+        placementTimer = loop.schedule(::place, delay.inWholeMilliseconds + 1, TimeUnit.MILLISECONDS)
+    }
+
     /** Waits only for the end of a short pause; otherwise, the caller may use its time in another way. */
     private fun rejectUntilPauseEnds(pause: Duration, now: MonotonicInstant) {
         val isShort = now + pause < policy.arrivedAt + policy.targetLatency * SHORT_PAUSE_SHARE
@@ -180,6 +188,8 @@
 
     private fun rejectQuarantined(rejection: QuarantineAdmission.Rejected, now: MonotonicInstant) {
         context.meters.quarantined()
+        val delay = policy.arrivedAt + quarantine.delay() - now
+        if (delay > Duration.ZERO) return placeLater(delay)
         val reason = "quarantined prompt part ${rejection.part}"
         if (response.hasBegunStream) return response.abort(reason)
         if (history.mayHaveRun) return response.reject(HttpResponseStatus.BAD_GATEWAY, reason, retryAfter = null)
@@ -222,6 +232,7 @@
 
     private fun stopWaiting() {
         deadlineTimer?.cancel(false)
+        placementTimer?.cancel(false)
         wait.end(context.clock.now())
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -144,7 +144,7 @@
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
     private val peerResources = limits.inbound(limits.peers, ::peerLimits) { PEER_HEADER_BYTES }
     private val quarantineSharing =
-        QuarantineSharing(quarantine, replicas, log, ::recheckQuarantine) { onQuarantineDecision(it) }
+        QuarantineSharing(quarantine, replicas, log, ::isRecorder, ::recheckQuarantine) { onQuarantineDecision(it) }
     private val heartbeats = HeartbeatService(
         settings.self,
         hosts,
@@ -225,6 +225,8 @@
         WaitingOrder.AUTOMATIC -> policy.account != null || replicas.shareMachines
     }
 
+    private fun isRecorder(suspect: String): Boolean = hosts.mayProbe(suspect, clock.now())
+
     private fun recheckQuarantine() {
         limits.callers.recheckQuarantine()
         limits.peers.recheckQuarantine()
