--- a/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/HardLoadTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/HardLoadTest.kt
@@ -80,6 +80,15 @@
         expectThat(plays.ordered.kind("question").onTime).isGreaterThan((0.9 * (60 * 9.4 + 70 * 5.6)).toInt())
     }
 
+    @Test
+    fun `a burst of large prompts while a fifth of the replicas is gone`() {
+        val kinds = listOf(question { 40.0 }, review { 12 * burst(it) })
+        val plays = play("large prompts and loss", kinds) { if (it in 4.0..9.6) 16 else 20 }
+        expectThat(plays.ordered.kind("review").shareOnTime).isGreaterThanOrEqualTo(0.9)
+        // Reviews take 11 of 16 places, which leaves 25 questions a second their place.
+        expectThat(plays.ordered.kind("question").onTime).isGreaterThan((0.9 * (40 * 9.4 + 25 * 5.6)).toInt())
+    }
+
     @Test
     fun `an account with eight times its usual demand does not take the places of the others`() {
         val usual = listOf("a", "b", "c", "d")
