Late first attempts of repeatable requests are hedged within the operators' share

Cause: HedgePolicy decided about hedges, and nothing sent them. Change: a request watches its first attempt (Hedging); a second one goes to another replica of the region with a free slot, counts as a retry for the shared budget and the route's attempts, and is not sent while requests wait for places or for a request under suspicion. The first response that can be relayed wins, the other attempt is cancelled; a failure of one leaves the other running.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/HedgePolicy.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/HedgePolicy.kt
@@ -11,6 +11,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The extra work that the operator accepts.
@@ -21,6 +22,12 @@
 public data class HedgeLimit(public val share: Double, public val window: Duration) {
     /** Whether requests are hedged at all. */
     public val isOn: Boolean get() = share > 0
+
+    /** Predefined limits. */
+    public companion object {
+        /** No extra work. */
+        public val NONE: HedgeLimit = HedgeLimit(share = 0.0, window = 10.seconds)
+    }
 }
 
 /** Whether a hedged attempt may be sent, or why not. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Attempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/Attempt.kt
@@ -1,5 +1,10 @@
 package org.buckthornwheel.forwarding.exchange
 
+import org.buckthornwheel.decision.replica.ReplicaId
+
+/** Why an attempt at [replica] or at the host [peer] failed after the request may have run. */
+internal class AttemptFailure(val replica: ReplicaId?, val peer: String?, val reason: String)
+
 /** One attempt to have a target serve a request. */
 internal interface Attempt {
     /** Ends the attempt and cancels the target's work on it. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -4,6 +4,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.AccountQuotas
+import org.buckthornwheel.decision.attempt.HedgePolicy
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
@@ -31,6 +32,7 @@
 ) {
     val retries: Retries get() = budgets.retries
     val quotas: AccountQuotas get() = budgets.quotas
+    val hedges: HedgePolicy get() = budgets.hedges
     val responseMemory: MemoryBudget get() = budgets.responseMemory
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
@@ -58,8 +60,13 @@
 /** The choice of places, and the queues of requests that wait for one. */
 internal class Places(val placement: Placement, val queues: PlaceQueues)
 
-/** What this host may give out: retries, units of its accounts' limits, and memory for responses. */
-internal class Budgets(val retries: Retries, val quotas: AccountQuotas, val responseMemory: MemoryBudget)
+/** What this host may give out: retries, hedged attempts, units of its accounts' limits, and memory for responses. */
+internal class Budgets(
+    val retries: Retries,
+    val hedges: HedgePolicy,
+    val quotas: AccountQuotas,
+    val responseMemory: MemoryBudget,
+)
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -72,7 +72,7 @@
         outcome = PeerEnvelope.outcome(head.headers())
         retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()?.takeIf { it.isFinite() }
         PeerEnvelope.remove(head.headers())
-        relay = ResponseRelay(proxiedRequest, head, context.responseMemory)
+        relay = ResponseRelay(proxiedRequest, head, context.responseMemory) { proxiedRequest.onResponding(this) }
     }
 
     override fun onContent(content: ByteBuf) {
@@ -92,7 +92,7 @@
         if (response.isInsideEvent) return broken("stream ended inside an event")
         val rejection = outcome ?: return response.complete()
         response.discard()
-        proxiedRequest.onPeerRejected(host, rejection, retryAfterSeconds?.seconds)
+        proxiedRequest.onPeerRejected(this, host, rejection, retryAfterSeconds?.seconds)
     }
 
     override fun onFailure(failure: ConnectionFailure) {
@@ -104,7 +104,7 @@
         relay?.discard()
         connection?.cancel()
         log("broken", reason)
-        proxiedRequest.onFailed(null, host.name.value, reason, HttpResponseStatus.BAD_GATEWAY)
+        proxiedRequest.onFailed(this, AttemptFailure(null, host.name.value, reason))
     }
 
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
@@ -122,7 +122,7 @@
         if (isEnded) return
         isEnded = true
         log("not sent", reason)
-        proxiedRequest.onNotSent(null, host.name.value)
+        proxiedRequest.onNotSent(this, null, host.name.value)
     }
 
     private fun log(event: String, reason: String) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -3,6 +3,8 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.ReplicaState
 import org.buckthornwheel.forwarding.connection.TargetPool
 import kotlin.time.Duration
 
@@ -47,6 +49,22 @@
         }
     }
 
+    /**
+     * A second attempt beside the one at [running], at a replica of this region with a free slot; null if none may be
+     * sent. A second attempt is a retry for the shared budget too.
+     */
+    fun hedge(running: ReplicaId, now: MonotonicInstant): PlacementResult.Attempting? {
+        val placed = placementRequest(now).let { it.copy(excluded = it.excluded + running, mayForward = false) }
+        val decision = context.placement.choose(placed, emptySet(), now) as? PlacementDecision.Local
+        val state = decision?.let { context.replicas.find(it.replica.id) }
+        val isFree = decision != null && decision.load.requests < decision.replica.slots &&
+            wait.mayTake(decision.replica.region, decision.replica.id, now)
+        val verdict = context.hedges.tryHedge(policy.service, isFree && state != null, now)
+        if (!Hedging.isPermitted(context, verdict) || decision == null || state == null) return null
+        if (!context.retries.tryWithdraw(policy.service, now)) return null
+        return attempting(decision, state, now)
+    }
+
     private fun placementRequest(now: MonotonicInstant): PlacementRequest = PlacementRequest(
         service = policy.service,
         promptTokens = request.metadata.promptTokens,
@@ -70,6 +88,14 @@
         if (history.count > 0 && !context.retries.tryWithdraw(policy.service, now)) {
             return PlacementResult.RetryBudgetExhausted
         }
+        return attempting(decision, state, now)
+    }
+
+    private fun attempting(
+        decision: PlacementDecision.Local,
+        state: ReplicaState,
+        now: MonotonicInstant,
+    ): PlacementResult.Attempting {
         val attempt = ReplicaAttempt(context, proxiedRequest, state, decision, now)
         return PlacementResult.Attempting(attempt) {
             val headers = RequestHeaders.forReplica(context, request, decision, policy.deadline - now, lastEventId)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -48,7 +48,8 @@
         ?.let { QueuedWait(it, loop, request, history, context.hosts.region, this) }
         ?: PolledWait(loop, policy, this)
     private val placement = PlacementStep(context, pool, request, history, this, wait)
-    private var attempt: Attempt? = null
+    private val attempts = RunningAttempts()
+    private val hedging = Hedging(context, loop, request, attempts, ::hedge, ::sendHedge)
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var placementTimer: ScheduledFuture<*>? = null
 
@@ -67,12 +68,10 @@
     fun cancel() {
         if (response.isDone) return
         response.abandon()
-        attempt?.cancel()
+        attempts.cancelAll()
     }
 
-    fun setReading(reads: Boolean) {
-        attempt?.setReading(reads)
-    }
+    fun setReading(reads: Boolean): Unit = attempts.setReading(reads)
 
     override fun place() {
         if (response.isDone) return
@@ -93,10 +92,28 @@
 
     private fun begin(next: PlacementResult.Attempting, now: MonotonicInstant) {
         wait.onTaken(now)
-        attempt = next.attempt
+        hedging.onBegin(next.attempt)
+        attempts.add(next.attempt)
         next.start()
     }
 
+    /** A second attempt beside the late one, if the request may be repeated at this moment. */
+    private fun hedge(late: ReplicaAttempt): PlacementResult.Attempting? {
+        if (!mayRetry() || response.hasBegunStream) return null
+        return placement.hedge(late.replica, context.clock.now())
+    }
+
+    private fun sendHedge(hedge: PlacementResult.Attempting) {
+        attempts.add(hedge.attempt)
+        hedge.start()
+    }
+
+    /** Called before the response of [winner] reaches the caller; any other attempt is cancelled. */
+    fun onResponding(winner: Attempt) {
+        hedging.onResponding(winner)
+        attempts.keepOnly(winner)
+    }
+
     /** A stream that has begun does not wait, since its caller would see a pause. */
     private fun waitOrReject(firstPlace: Duration, now: MonotonicInstant) {
         if (response.hasBegunStream) return giveUp("no replica available in time", firstPlace)
@@ -123,19 +140,25 @@
     fun onSent(): Unit = history.recordSent()
 
     /** Called when no connection to the target was established, so that nothing was sent. */
-    fun onNotSent(replica: ReplicaId?, peer: String?) {
+    fun onNotSent(attempt: Attempt, replica: ReplicaId?, peer: String?) {
         history.recordFailure(replica, peer)
-        attempt = null
-        place()
+        placeUnlessRunning(attempt)
+    }
+
+    /** Looks for another place after [ended] has ended, unless a hedged attempt is still in progress. */
+    private fun placeUnlessRunning(ended: Attempt) {
+        attempts.remove(ended)
+        if (attempts.isEmpty) place()
     }
 
     /**
      * Called when [replica] certainly did not run the request. [counts] is false if another replica than the intended
      * one responded.
      */
-    fun onNotRun(replica: ReplicaId, counts: Boolean) {
+    fun onNotRun(attempt: Attempt, replica: ReplicaId, counts: Boolean) {
         history.recordNotRun(replica, counts)
-        attempt = null
+        attempts.remove(attempt)
+        if (!attempts.isEmpty) return
         if (!counts || history.remaining > 0) place() else giveUp("refused by replicas", REFUSED_RETRY_AFTER)
     }
 
@@ -143,8 +166,8 @@
      * Called when the [host] of another region rejected the request. If no replica received it, it may still be served
      * in a third region or in this one.
      */
-    fun onPeerRejected(host: EntryHostProfile, outcome: PeerOutcome, retryAfter: Duration?) {
-        attempt = null
+    fun onPeerRejected(attempt: Attempt, host: EntryHostProfile, outcome: PeerOutcome, retryAfter: Duration?) {
+        attempts.remove(attempt)
         history.recordRegionRejection(host.region, outcome)
         if (outcome == PeerOutcome.NOT_RUN) {
             return giveUp("refused in ${host.region}", retryAfter ?: NO_REPLICA_RETRY_AFTER)
@@ -152,25 +175,25 @@
         place()
     }
 
-    /** Called when an attempt failed after it may have run; responds with [status] if no retry is permitted. */
-    fun onFailed(replica: ReplicaId?, peer: String?, reason: String, status: HttpResponseStatus) {
-        history.recordFailure(replica, peer)
-        attempt = null
+    /** Called when [attempt] failed after it may have run; responds with 502 if no retry is permitted. */
+    fun onFailed(attempt: Attempt, failure: AttemptFailure) {
+        history.recordFailure(failure.replica, failure.peer)
+        attempts.remove(attempt)
+        if (!attempts.isEmpty) return
         if (mayRetry()) return place()
-        if (response.hasBegunStream) return response.abort(reason)
-        response.reject(status, reason, retryAfter = null)
+        if (response.hasBegunStream) return response.abort(failure.reason)
+        response.reject(HttpResponseStatus.BAD_GATEWAY, failure.reason, retryAfter = null)
     }
 
     /**
      * Called when [replica] sent a complete [error] response. It is kept, and relayed if no other replica serves the
      * request.
      */
-    fun onError(replica: ReplicaId, error: ResponseRelay) {
-        if (!mayRetry()) return error.complete()
+    fun onError(attempt: Attempt, replica: ReplicaId, error: ResponseRelay) {
+        if (attempts.isOnly(attempt) && !mayRetry()) return error.complete()
         response.keepFallback(error)
         history.recordFailure(replica, peer = null)
-        attempt = null
-        place()
+        placeUnlessRunning(attempt)
     }
 
     private fun mayRetry(): Boolean =
@@ -181,9 +204,8 @@
         if (response.isDone || response.hasBegunStream) return
         val now = context.clock.now()
         val rejection = quarantine.rejection(now) ?: return
-        val running = attempt
         rejectQuarantined(rejection, now)
-        running?.cancel()
+        attempts.cancelAll()
     }
 
     private fun rejectQuarantined(rejection: QuarantineAdmission.Rejected, now: MonotonicInstant) {
@@ -213,26 +235,25 @@
         val mayRunElsewhere = !policy.mayForward && policy.isRetryable && history.mayHaveRun
         if (!mayRunElsewhere) return end("host stopped", HttpResponseStatus.BAD_GATEWAY, OTHER_HOST_RETRY_AFTER)
         // The host that forwarded the request retries it if its connection ends, but relays a failure.
-        val running = attempt
         response.abort("host stopped")
-        running?.cancel()
+        attempts.cancelAll()
     }
 
     /** Ends the request and its attempt, with [statusIfRun] unless it is certain that no replica ran the request. */
     private fun end(reason: String, statusIfRun: HttpResponseStatus, retryAfter: Duration?) {
         if (response.isDone) return
-        val running = attempt
         when {
             response.hasBegunStream -> response.abort(reason)
             history.mayHaveRun -> response.reject(statusIfRun, reason, retryAfter = null)
             else -> response.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfter)
         }
-        running?.cancel()
+        attempts.cancelAll()
     }
 
     private fun stopWaiting() {
         deadlineTimer?.cancel(false)
         placementTimer?.cancel(false)
+        hedging.onEnd()
         wait.end(context.clock.now())
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -15,6 +15,7 @@
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.buckthornwheel.decision.replica.ReplicaAttemptResult
+import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
 import org.buckthornwheel.forwarding.connection.ConnectFailure
@@ -49,9 +50,21 @@
     private var isFramed = false
     private var relay: ResponseRelay? = null
     private var responseMetadata: ResponseMetadata? = null
-    private var hasStartedResponding = false
     private var isEnded = false
 
+    /** Whether data that the caller can use has arrived. */
+    var hasStartedResponding: Boolean = false
+        private set
+
+    /** The replica that the request is sent to. */
+    val replica: ReplicaId get() = decision.replica.id
+
+    /** Predicted time until the response starts. */
+    val predicted: Duration get() = decision.predicted
+
+    /** Time since the attempt began. */
+    val elapsed: Duration get() = context.clock.now() - startedAt
+
     fun start(pool: TargetPool, headers: HttpHeaders, request: ReceivedRequest, lastEventId: String?) {
         state.recordStart(work, proxiedRequest.metadata.parts, coldPause(), startedAt)
         context.reads.add(decision.replica.id, proxiedRequest.metadata.parts, startedAt)
@@ -64,9 +77,8 @@
             decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
         }
-        val replica = decision.replica
         pool.acquire(
-            TargetKey(replica.address, replica.id.value),
+            TargetKey(decision.replica.address, decision.replica.id.value),
             use = { newConnection -> sendOrWithdraw(pool, newConnection, headers, request) },
             fail = ::notSent,
         )
@@ -97,7 +109,7 @@
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
         announcements.record(received, head.status())
-        relay = ResponseRelay(proxiedRequest, head, context.responseMemory)
+        relay = ResponseRelay(proxiedRequest, head, context.responseMemory) { proxiedRequest.onResponding(this) }
         isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
@@ -153,7 +165,7 @@
         pool.release(opened)
         end(ReplicaAttemptResult.ABANDONED)
         log("not sent") { put("reason", restriction.source) }
-        proxiedRequest.onNotSent(decision.replica.id, null)
+        proxiedRequest.onNotSent(this, decision.replica.id, null)
     }
 
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
@@ -187,6 +199,7 @@
         val now = context.clock.now()
         state.recordProgress(work.prefillTokens, now - startedAt, decision.predicted, now)
         context.queues.recordResponseStart(proxiedRequest.policy, now - startedAt)
+        context.hedges.recordStart(proxiedRequest.policy.service, decision.predicted, now - startedAt)
     }
 
     private fun endedInsideEvent() {
@@ -212,14 +225,14 @@
 
     private fun failed(response: ResponseRelay) {
         end(ReplicaAttemptResult.ERROR)
-        proxiedRequest.onError(decision.replica.id, response)
+        proxiedRequest.onError(this, decision.replica.id, response)
     }
 
     private fun notRun(response: ResponseRelay, counts: Boolean) {
         response.discard()
         context.meters.refused()
         end(if (counts) ReplicaAttemptResult.REFUSED else ReplicaAttemptResult.BROKEN)
-        proxiedRequest.onNotRun(decision.replica.id, counts)
+        proxiedRequest.onNotRun(this, decision.replica.id, counts)
     }
 
     private fun broken(reason: String, result: ReplicaAttemptResult = ReplicaAttemptResult.BROKEN) {
@@ -235,7 +248,7 @@
             put("content", proxiedRequest.quarantine.identityText())
             put("milliseconds", (context.clock.now() - startedAt).inWholeMilliseconds)
         }
-        proxiedRequest.onFailed(decision.replica.id, null, reason, HttpResponseStatus.BAD_GATEWAY)
+        proxiedRequest.onFailed(this, AttemptFailure(decision.replica.id, null, reason))
     }
 
     private fun notSent(failure: ConnectFailure) {
@@ -243,7 +256,7 @@
         if (isEnded) return
         end(ReplicaAttemptResult.BROKEN)
         log("not sent") { put("reason", failure.reason) }
-        proxiedRequest.onNotSent(decision.replica.id, null)
+        proxiedRequest.onNotSent(this, decision.replica.id, null)
     }
 
     private fun end(result: ReplicaAttemptResult) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -32,8 +32,17 @@
     TOO_LONG,
 }
 
-/** Relays the response with the given [head] to the caller of [proxiedRequest]; buffers within [memory]. */
-internal class ResponseRelay(proxiedRequest: ProxiedRequest, head: HttpResponse, memory: MemoryBudget) {
+/**
+ * Relays the response with the given [head] to the caller of [proxiedRequest]; buffers within [memory].
+ *
+ * @param onRelaying called before the first part of it is sent to the caller.
+ */
+internal class ResponseRelay(
+    proxiedRequest: ProxiedRequest,
+    head: HttpResponse,
+    memory: MemoryBudget,
+    private val onRelaying: () -> Unit,
+) {
     private val response = proxiedRequest.response
     val status: HttpResponseStatus = head.status()
     private val headers: HttpHeaders = head.headers().copy().also(HopByHopHeaders::strip)
@@ -72,6 +81,7 @@
         if (body == null) return response.endStream(status.code())
         buffered = null
         reservation.close()
+        onRelaying()
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         response.respond(status, headers, body)
     }
@@ -120,6 +130,7 @@
     private fun begin() {
         if (hasBegun) return
         hasBegun = true
+        onRelaying()
         headers.remove(HttpHeaderNames.CONTENT_LENGTH)
         response.beginStream(status, headers)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -11,6 +11,7 @@
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.account.AccountQuotas
+import org.buckthornwheel.decision.attempt.HedgePolicy
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
@@ -133,6 +134,7 @@
                 ),
                 sharedBudgets,
             ),
+            HedgePolicy(settings.hedging),
             AccountQuotas.UNLIMITED,
             limits.memory.responses,
         ),
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.forwarding.host
 
 import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.decision.attempt.HedgeLimit
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.waiting.WaitingLimits
 import org.buckthornwheel.forwarding.limits.MachineLimits
@@ -18,6 +19,7 @@
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
  * @property revocationBound time within which a removed account key must stop working on all hosts; null for none.
+ * @property hedging extra work that the operator accepts to cut the slowest responses.
  * @property machine what the machine permits the process.
  */
 public data class EntryHostSettings(
@@ -36,6 +38,7 @@
     public val revocationBound: Duration? = null,
     public val waiting: WaitingSettings = WaitingSettings(),
     public val machine: MachineLimits = MachineLimits(),
+    public val hedging: HedgeLimit = HedgeLimit.NONE,
 )
 
 /** Whether requests that find no place wait in an order. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -7,6 +7,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.buckthornwheel.decision.attempt.HedgeVerdict
 import org.buckthornwheel.api.ServiceName
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
@@ -48,6 +49,12 @@
     /** Counts a request that was rejected because of its client account. */
     internal fun accountRejected(reason: AccountRejection): Unit = meters.accountRejections.getValue(reason).increment()
 
+    /** Counts a late attempt by whether it may be hedged. */
+    internal fun hedgeDecided(verdict: HedgeVerdict): Unit = meters.hedge(verdict.name.lowercase()).increment()
+
+    /** Counts a hedged attempt by whether its response reached the caller. */
+    internal fun hedgeEnded(hasWon: Boolean): Unit = meters.hedge(if (hasWon) "won" else "lost").increment()
+
     /** Counts a request forwarded to another region. */
     internal fun forwarded(): Unit = meters.forwards.increment()
 
@@ -94,6 +101,10 @@
         FunctionCounter.builder("buckthornwheel.log.dropped", droppedLines) { it().toDouble() }.register(registry)
     }
 
+    /** Late attempts by what became of them; `permitted` ones end as `won` or `lost`. */
+    fun hedge(outcome: String): Counter =
+        Counter.builder("buckthornwheel.hedges").tag("outcome", outcome).register(registry)
+
     fun responseTimer(status: Int): Timer = synchronized(responseTimers) {
         responseTimers.getOrPut(status) {
             Timer.builder("buckthornwheel.answers").tag("status", status.toString())
