--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.memory.MemoryBudget
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -57,6 +58,9 @@
     var isReused: Boolean = false
         private set
 
+    /** Memory in which its responses are buffered. */
+    val responseMemory: MemoryBudget get() = pool.responseMemory
+
     val isOpen: Boolean get() = channel.isActive && failureReason == null
 
     fun send(request: HttpRequest, body: ByteBuf, receiver: ResponseListener) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -20,6 +20,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.IdleLimit
+import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -30,8 +31,14 @@
 /** Key of pooled connections; [owner] distinguishes targets that used the same address one after the other. */
 internal data class TargetKey(val address: NetworkAddress, val owner: String)
 
-/** The pool of [loop]; [onOpened] is called for each new connection. */
-internal class TargetPool(private val loop: EventLoop, private val onOpened: () -> Unit) {
+/**
+ * The pool of [loop]; responses are buffered within [responseMemory], and [onOpened] is called for each new connection.
+ */
+internal class TargetPool(
+    private val loop: EventLoop,
+    val responseMemory: MemoryBudget,
+    private val onOpened: () -> Unit,
+) {
     private val clock = MonotonicClock.SYSTEM
     private val limit = IdleLimit(DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN)
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -7,7 +7,6 @@
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
-import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
@@ -28,7 +27,6 @@
     val shutdown: HostShutdown,
     val clock: MonotonicClock,
     val quotas: AccountQuotas = AccountQuotas.UNLIMITED,
-    val responseMemory: MemoryBudget,
 ) {
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -72,7 +72,7 @@
         outcome = PeerEnvelope.outcome(head.headers())
         retryAfterSeconds = head.headers().get(HttpHeaderNames.RETRY_AFTER)?.toDoubleOrNull()?.takeIf { it.isFinite() }
         PeerEnvelope.remove(head.headers())
-        relay = ResponseRelay(proxiedRequest, head, context.responseMemory)
+        relay = connection?.let { ResponseRelay(proxiedRequest, head, it.responseMemory) }
     }
 
     override fun onContent(content: ByteBuf) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -94,7 +94,7 @@
         PeerEnvelope.remove(head.headers())
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
-        relay = ResponseRelay(proxiedRequest, head, context.responseMemory)
+        relay = connection?.let { ResponseRelay(proxiedRequest, head, it.responseMemory) }
         isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnections.kt
@@ -5,10 +5,11 @@
 import org.buckthornwheel.forwarding.limits.ConnectionGroup
 import org.buckthornwheel.forwarding.limits.LimitLog
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** The open connections of a listener, at most [maximum]. During [shutdown], each is closed after its next response. */
 internal class InboundConnections(private val shutdown: HostShutdown, maximum: Int, limitLog: LimitLog) {
-    val group: ConnectionGroup<InboundConnection> = ConnectionGroup(maximum, limitLog)
+    val group: ConnectionGroup<InboundConnection> = ConnectionGroup(maximum, limitLog, REQUEST_ARRIVAL_TIME)
 
     /** Whether responses announce that the connection will close, so that callers connect to another host. */
     val isDraining: Boolean get() = shutdown.hasBegun
@@ -33,4 +34,9 @@
     /** Closes the connections of [loop], on which this is called, that keep memory without progress. */
     fun relieve(loop: EventLoop, shortage: MemoryShortage): Unit =
         group.forEach { connection -> if (connection.eventLoop === loop) connection.relieve(shortage) }
+
+    private companion object {
+        /** Several round trips. */
+        val REQUEST_ARRIVAL_TIME = 500.milliseconds
+    }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/StrictRequestDecoder.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/StrictRequestDecoder.kt
@@ -10,8 +10,8 @@
 /**
  * A request decoder that rejects messages whose length is ambiguous (RFC 9112, section 6.3).
  *
- * It decodes only while [mayDecode], so that requests that are sent ahead stay bytes, and it knows what the objects cost
- * that it has made of a head or trailer.
+ * It decodes only while [mayDecode], so that requests that are sent ahead stay bytes, and it knows what the objects
+ * cost that it has made of a head or trailer.
  */
 internal class StrictRequestDecoder(maximumHeaderBytes: Int, private val mayDecode: () -> Boolean) :
     HttpRequestDecoder(
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -123,7 +123,6 @@
         observability = Observability(log, meters),
         shutdown = shutdown,
         clock = clock,
-        responseMemory = limits.memory.responses,
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
@@ -189,7 +188,7 @@
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
-        pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened) }
+        pools.computeIfAbsent(loop) { TargetPool(it, limits.memory.responses, meters::connectionOpened) }
 
     private fun callerStarter(loop: EventLoop, startup: StartupAdmission): RequestStarter =
         CallerRequestStarter(context, pool(loop), startup)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/HostLimits.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/HostLimits.kt
@@ -21,6 +21,7 @@
 import org.buckthornwheel.forwarding.listener.HttpEndpoint
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 
 /** The limits of a host's memory and connections on a [machine], and what they report. */
 internal class HostLimits(machine: MachineLimits, log: DecisionLog, shutdown: HostShutdown) {
@@ -41,18 +42,22 @@
 
     /** What the connections to the [endpoint] with [name] share. */
     fun endpoint(name: String, endpoint: HttpEndpoint): EndpointListener {
-        val group = ConnectionGroup<EndpointConnection>(maxima.endpoint, limitLog)
+        // An endpoint has no long requests, so that a new connection is always among the last that are closed.
+        val group = ConnectionGroup<EndpointConnection>(maxima.endpoint, limitLog, arrivalTime = Duration.ZERO)
         endpointGroups[name] = group
         return EndpointListener(endpoint, group, memory)
     }
 
     /** Closes connections, once a second, that keep memory without progress. */
     fun startRelieving(loops: EventLoopGroup) {
-        loops.next().scheduleWithFixedDelay({ relieve(loops) }, 1, 1, TimeUnit.SECONDS)
+        val loop = loops.next()
+        loop.scheduleWithFixedDelay({ relieve(loops) }, 1, 1, TimeUnit.SECONDS)
+        val groups = listOf(callers.group, peers.group) + endpointGroups.values
+        val interval = ROOM_INTERVAL_MILLISECONDS
+        loop.scheduleWithFixedDelay({ groups.forEach { it.relieve() } }, interval, interval, TimeUnit.MILLISECONDS)
     }
 
     private fun relieve(loops: EventLoopGroup) {
-        (listOf(callers.group, peers.group) + endpointGroups.values).forEach { it.relieve() }
         val isShortOfBodies = memory.bodies.takeShortage()
         val isShortOfHeads = memory.heads.takeShortage()
         val shortage = MemoryShortage(isShortOfBodies || isShortOfHeads, memory.responses.takeShortage())
@@ -79,4 +84,9 @@
                 .tag("limit", limit.title).register(registry)
         }
     }
+
+    private companion object {
+        /** Interval at which connections are closed while a listener has too many. */
+        const val ROOM_INTERVAL_MILLISECONDS = 250L
+    }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/limits/ConnectionGroup.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/limits/ConnectionGroup.kt
@@ -1,8 +1,10 @@
 package org.buckthornwheel.forwarding.limits
 
 import io.netty.channel.Channel
+import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 
 /** A connection that may be closed to make room for another one. */
 internal interface EvictableConnection {
@@ -29,12 +31,18 @@
 }
 
 /**
- * The open connections of a listener, at most [maximum] of them.
+ * The open connections of a listener, at most [maximum] of them. The request of a caller follows a new connection
+ * within [arrivalTime].
  *
  * If there are more, those that were without progress for longest are closed; if all have requests in progress, no more
  * are accepted until one closes.
  */
-internal class ConnectionGroup<T : EvictableConnection>(private val maximum: Int, private val limits: LimitLog) {
+internal class ConnectionGroup<T : EvictableConnection>(
+    private val maximum: Int,
+    private val limits: LimitLog,
+    private val arrivalTime: Duration,
+    private val clock: MonotonicClock = MonotonicClock.SYSTEM,
+) {
     private val open: MutableSet<T> = ConcurrentHashMap.newKeySet()
 
     /** The channel of the listener. */
@@ -46,7 +54,7 @@
     fun opened(connection: T) {
         open += connection
         if (size <= maximum) return
-        evictOldest()
+        evictOldest(maximum / BATCH_SHARE)
         if (size >= maximum + TOLERANCE) listener?.config()?.isAutoRead = false
     }
 
@@ -57,16 +65,21 @@
 
     /** Makes room again if all had requests in progress when the last ones were accepted; called from time to time. */
     fun relieve() {
-        if (size > maximum) evictOldest()
+        if (size > maximum) evictOldest(maximum / LARGE_BATCH_SHARE)
     }
 
     fun forEach(action: (T) -> Unit): Unit = open.forEach(action)
 
-    /** Closes a part of the connections at once, so that choosing them costs little for each. */
-    private fun evictOldest() {
+    /**
+     * Closes [spare] connections more than it must, so that choosing them costs little for each. On the newest ones, a
+     * request may be arriving.
+     */
+    private fun evictOldest(spare: Int) {
+        val now = clock.now()
         val candidates = open.mapNotNull { connection -> connection.standing?.let { Candidate(connection, it) } }
+            .filter { now - it.lastProgress >= arrivalTime }
         val oldest = candidates.sortedWith(compareBy({ it.standing }, { it.lastProgress }))
-        oldest.take(size - maximum + maximum / BATCH_SHARE).forEach {
+        oldest.take(size - maximum + spare).forEach {
             limits.record(Limit.CONNECTIONS)
             it.connection.evict()
         }
@@ -81,5 +94,6 @@
         /** Connections beyond the maximum that may wait for others to be closed. */
         const val TOLERANCE = 8
         const val BATCH_SHARE = 32
+        const val LARGE_BATCH_SHARE = 4
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/limits/HostMemory.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/limits/HostMemory.kt
@@ -1,8 +1,8 @@
 /*
  * The accounts of memory that callers, other hosts and replicas can make a host use.
  *
- * Bodies and responses are kept in direct memory, heads as objects on the heap. Each has a share of what the process may
- * use. The rest is left to buffers of single reads, connections and everything else.
+ * Bodies and responses are kept in direct memory, heads as objects on the heap. Each has a share of what the process
+ * may use. The rest is left to buffers of single reads, connections and everything else.
  */
 
 package org.buckthornwheel.forwarding.limits
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/EndpointConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/EndpointConnection.kt
@@ -85,16 +85,21 @@
 
     private fun read(context: ChannelHandlerContext, message: HttpObject) {
         if (message.decoderResult().isFailure) return respond(context, BAD_REQUEST, keepsAlive = false)
-        if (message is HttpRequest) {
-            request = message
-            bodyBytes = 0
-            if (!memory.tryResize(decoder.headCost)) return close()
-        }
-        if (message !is HttpContent) return
+        if (message is HttpRequest) begin(message)
+        if (message is HttpContent) add(context, message)
+    }
+
+    private fun begin(head: HttpRequest) {
+        if (!memory.tryResize(decoder.headCost)) return close()
+        request = head
+        bodyBytes = 0
+    }
+
+    private fun add(context: ChannelHandlerContext, content: HttpContent) {
         val head = request ?: return
-        bodyBytes += message.content().readableBytes()
+        bodyBytes += content.content().readableBytes()
         if (bodyBytes > MAXIMUM_BODY_BYTES) return respond(context, TOO_LONG, keepsAlive = false)
-        if (message !is LastHttpContent) return
+        if (content !is LastHttpContent) return
         request = null
         respond(context, listener.endpoint.respond(head.method().name(), head.uri()), HttpUtil.isKeepAlive(head))
     }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/limits/ConnectionGroupTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/limits/ConnectionGroupTest.kt
@@ -6,12 +6,18 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
 
 internal class ConnectionGroupTest {
-    private val group = ConnectionGroup<Connection>(MAXIMUM, LimitLog(DecisionLog("host-1")))
+    private var now = NANOSECONDS_PER_SECOND
+    private val group =
+        ConnectionGroup<Connection>(MAXIMUM, LimitLog(DecisionLog("host-1")), 500.milliseconds) {
+            MonotonicInstant(now)
+        }
     private val listener = EmbeddedChannel().also { group.listener = it }
     private val evicted = ArrayList<String>()
 
@@ -37,6 +43,16 @@
         expectThat(evicted).containsExactly("unfinished", "unused", "further")
     }
 
+    /** A connection was closed before its request could arrive, since all others were busy. */
+    @Test
+    fun `new connections are not closed while a request may be arriving`() {
+        repeat(MAXIMUM + 1) { group.opened(Connection("c$it", ConnectionStanding.UNUSED, progress = now)) }
+        expectThat(evicted).isEmpty()
+        now += NANOSECONDS_PER_SECOND
+        group.relieve()
+        expectThat(group.size).isLessThanOrEqualTo(MAXIMUM)
+    }
+
     /** The listener stayed paused after the requests had ended. */
     @Test
     fun `accepting pauses while all connections are busy, and goes on when they are idle`() {
@@ -52,5 +68,6 @@
 
     private companion object {
         const val MAXIMUM = 4
+        const val NANOSECONDS_PER_SECOND = 1_000_000_000L
     }
 }
