--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -20,6 +20,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.IdleLimit
+import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
 import java.net.ConnectException
 import java.net.InetSocketAddress
@@ -31,11 +32,12 @@
 internal data class TargetKey(val address: NetworkAddress, val owner: String)
 
 /**
- * The pool of [loop]; [onOpened] is called for each new connection. Connections to targets that are [isLeaving] are not
- * kept open.
+ * The pool of [loop]; responses are buffered within [responseMemory], and [onOpened] is called for each new connection.
+ * Connections to targets that are [isLeaving] are not kept open.
  */
 internal class TargetPool(
     private val loop: EventLoop,
+    val responseMemory: MemoryBudget,
     private val onOpened: () -> Unit,
     private val isLeaving: (TargetKey) -> Boolean = { false },
 ) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -8,7 +8,6 @@
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
-import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
@@ -33,7 +32,6 @@
     val retries: Retries get() = budgets.retries
     val quotas: AccountQuotas get() = budgets.quotas
     val hedges: HedgePolicy get() = budgets.hedges
-    val responseMemory: MemoryBudget get() = budgets.responseMemory
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
@@ -60,12 +58,11 @@
 /** The choice of places, and the queues of requests that wait for one. */
 internal class Places(val placement: Placement, val queues: PlaceQueues)
 
-/** What this host may give out: retries, hedged attempts, units of its accounts' limits, and memory for responses. */
+/** What this host may give out: retries, hedged attempts, and units of its accounts' limits. */
 internal class Budgets(
     val retries: Retries,
     val hedges: HedgePolicy,
     val quotas: AccountQuotas,
-    val responseMemory: MemoryBudget,
 )
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -109,7 +109,9 @@
         received.requestsAtReplica?.let { state.recordSelfReportedLoad(it, context.clock.now()) }
         unusableReason(received, head)?.let { return broken(it) }
         announcements.record(received, head.status())
-        relay = ResponseRelay(proxiedRequest, head, context.responseMemory) { proxiedRequest.onResponding(this) }
+        relay = connection?.let {
+            ResponseRelay(proxiedRequest, head, it.responseMemory) { proxiedRequest.onResponding(this) }
+        }
         isFramed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head)
         if (!proxiedRequest.policy.isStreaming) recordProgress()
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -136,7 +136,6 @@
             ),
             HedgePolicy(settings.hedging),
             AccountQuotas.UNLIMITED,
-            limits.memory.responses,
         ),
         observability = observability,
         shutdown = shutdown,
@@ -206,7 +205,9 @@
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, currency, clock)
 
     private fun pool(loop: EventLoop): TargetPool =
-        pools.computeIfAbsent(loop) { TargetPool(it, meters::connectionOpened, ::isLeaving) }
+        pools.computeIfAbsent(loop) {
+            TargetPool(it, limits.memory.responses, meters::connectionOpened, ::isLeaving)
+        }
 
     private fun isLeaving(key: TargetKey): Boolean = replicas.isLeaving(ReplicaId(key.owner))
 
