Explain a crash by the request that was quarantined first, at bounded cost

Cause: each part of each crash was compared with all crashes of all quarantined requests, and the rotation of reported requests would become negative after some hundred million reports. Change: the explanation is computed once an update; the rotation uses a modulus that is never negative.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/PromptPartQuarantine.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/quarantine/PromptPartQuarantine.kt
@@ -122,7 +122,7 @@
             val foundRequests = quarantineRequests(now)
             val settled = crashes.all().filter { it.isConfirmed && now - it.at >= EVIDENCE_DELAY }
             val unexplained = settled.filterNot { crash -> crash.suspects.keys.any { it in quarantined } }
-            val found = CrashAttribution.responsibleParts(unexplained, completed, ::requestThatCrashed)
+            val found = CrashAttribution.responsibleParts(unexplained, completed, requestsByRun()::get)
             val foundParts = found.map { (part, runs) -> quarantine(part, runs, now) }
             foundRequests + foundParts + release(now)
         }
@@ -148,8 +148,9 @@
         }
     }
 
-    private fun requestThatCrashed(run: ReplicaRun): String? =
-        quarantined.keys.firstOrNull { RequestIdentity.isRequest(it) && run in requests.runsOf(it) }
+    /** The quarantined request that crashed each run; the one that was quarantined first if there are several. */
+    private fun requestsByRun(): Map<ReplicaRun, String> = quarantined.keys.filter(RequestIdentity::isRequest)
+        .flatMap { request -> requests.runsOf(request).map { it to request } }.asReversed().toMap()
 
     /** What other hosts need to know at [now]. */
     public fun report(now: MonotonicInstant): QuarantineReport = synchronized(lock) {
@@ -232,7 +233,7 @@
     private fun reportedRequests(crash: ReplicaCrash): Map<String, Int> {
         val all = requests.requestsIn(crash.run)
         val (repeated, others) = all.partition { requests.crashesOf(it) >= CRASHES_WITHOUT_RETRY }
-        val rotation = if (others.isEmpty()) 0 else reportNumber * MAXIMUM_REPORTED_REQUESTS % others.size
+        val rotation = if (others.isEmpty()) 0 else Math.floorMod(reportNumber * MAXIMUM_REPORTED_REQUESTS, others.size)
         return (repeated + others.drop(rotation) + others.take(rotation)).take(MAXIMUM_REPORTED_REQUESTS)
             .associateWith { 0 }
     }
