--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -156,7 +156,7 @@
     private fun isAlive(entry: Entry, now: MonotonicInstant): Boolean =
         entry.heardAt?.let { now - it <= entry.aliveFor } ?: false
 
-    private fun snapshot(now: MonotonicInstant): EntryHostSnapshot = synchronized(lock) {
+    internal fun snapshot(now: MonotonicInstant): EntryHostSnapshot = synchronized(lock) {
         val present = snapshot
         if (present != null && now >= present.at && now - present.at < SNAPSHOT_MAX_AGE) return present
         EntryHostSnapshot.of(self, now, known.values.map { statusAt(it, now) }).also { snapshot = it }
