--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -59,11 +59,7 @@
 internal class Places(val placement: Placement, val queues: PlaceQueues)
 
 /** What this host may give out: retries, hedged attempts, and units of its accounts' limits. */
-internal class Budgets(
-    val retries: Retries,
-    val hedges: HedgePolicy,
-    val quotas: AccountQuotas,
-)
+internal class Budgets(val retries: Retries, val hedges: HedgePolicy, val quotas: AccountQuotas)
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -10,9 +10,10 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.NetworkAddress
-import org.buckthornwheel.decision.account.AccountQuotas
+import org.buckthornwheel.decision.account.share.SharedAccountQuotas
 import org.buckthornwheel.decision.attempt.HedgePolicy
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
+import org.buckthornwheel.decision.entry.EntryQuotaSharers
 import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Distances
@@ -46,6 +47,7 @@
 import org.buckthornwheel.forwarding.listener.HttpEndpoint
 import org.buckthornwheel.forwarding.listener.Listeners
 import org.buckthornwheel.forwarding.listener.OpenListener
+import org.buckthornwheel.forwarding.membership.AccountSharing
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
@@ -54,6 +56,7 @@
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ThreadLocalRandom
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -118,6 +121,10 @@
             !isColdRateLimited(replica) || sharedBudgets.mayUseColdReplica(replica.id, now)
         },
     )
+    private val quotas = SharedAccountQuotas(
+        EntryQuotaSharers(settings.self, hosts, settings.settlingTime, routingState::knownSince),
+        startedAt = clock.now(),
+    ) { ThreadLocalRandom.current().nextDouble() }
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
@@ -135,7 +142,7 @@
                 sharedBudgets,
             ),
             HedgePolicy(settings.hedging),
-            AccountQuotas.UNLIMITED,
+            quotas,
         ),
         observability = observability,
         shutdown = shutdown,
@@ -152,7 +159,7 @@
         replicas,
         reads,
         settings.seedAddresses,
-        LocalHostState({ isReady }, { estate }, quarantineSharing, currency::refusesAccounts),
+        LocalHostState({ isReady }, { estate }, quarantineSharing, currency::refusesAccounts, AccountSharing(quotas)),
         log,
         clock,
     )
@@ -204,10 +211,9 @@
 
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, currency, clock)
 
-    private fun pool(loop: EventLoop): TargetPool =
-        pools.computeIfAbsent(loop) {
-            TargetPool(it, limits.memory.responses, meters::connectionOpened, ::isLeaving)
-        }
+    private fun pool(loop: EventLoop): TargetPool = pools.computeIfAbsent(loop) {
+        TargetPool(it, limits.memory.responses, meters::connectionOpened, ::isLeaving)
+    }
 
     private fun isLeaving(key: TargetKey): Boolean = replicas.isLeaving(ReplicaId(key.owner))
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -92,6 +92,7 @@
  * @property quarantine what the sender knows of crashed replicas and quarantined prompt parts; null for nothing.
  * @property refusesAccounts whether the sender rejects requests of client accounts.
  * @property leaving replicas that announced to the sender that they are leaving; null for none.
+ * @property accounts how much client accounts used at the sender; null for nothing.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -103,6 +104,7 @@
     @CborLabel(5) val revision: Long = 0,
     @CborLabel(6) val quarantine: QuarantineMessage? = null,
     @CborLabel(7) val refusesAccounts: Boolean = false,
+    @CborLabel(8) val accounts: AccountUseMessage? = null,
     @CborLabel(9) val leaving: List<LeavingReplica>? = null,
 ) {
     @OptIn(ExperimentalSerializationApi::class)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -31,14 +31,15 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision, and the
- * quarantine.
+ * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision, the
+ * quarantine, and the use of accounts.
  */
 internal class LocalHostState(
     val isReady: () -> Boolean,
     val estate: () -> EstateSync,
     val quarantine: QuarantineSharing,
     val refusesAccounts: () -> Boolean,
+    val accounts: AccountSharing,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -83,6 +84,7 @@
         val activity = Activity(work, ownReads(now))
         val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
         val isUrgent = local.quarantine.takeUrgency()
+        local.accounts.endRound(intervals.values, now)
         for ((host, interval) in intervals) {
             if (isUrgent ||
                 isDue(host, interval)
@@ -126,6 +128,7 @@
         local.estate().revision,
         quarantineMessage,
         local.refusesAccounts(),
+        local.accounts.message(interval),
         leaving = ownLeaving().ifEmpty { null },
     )
 
@@ -165,6 +168,7 @@
         recovery.onHeartbeat(heartbeat.sender.host, heartbeat.revision, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
+        local.accounts.receive(heartbeat.sender.host, heartbeat.accounts, now)
         heartbeat.quarantine?.let { local.quarantine.receive(it, heartbeat.sender.name.value, now) }
     }
 
@@ -205,21 +209,24 @@
         }
     }
 
-    private companion object {
+    companion object {
         /** Interval between rounds: a sixth of the silence after which a host is considered dead. */
-        const val INTERVAL_MILLISECONDS = 250L
+        private const val INTERVAL_MILLISECONDS = 250L
+
+        /** Interval between rounds, and thus the shortest between heartbeats to the same host. */
+        val ROUND: Duration = INTERVAL_MILLISECONDS.milliseconds
 
         /** Limit on what a damaged heartbeat can do. */
         const val MAXIMUM_LEAVING = 64
 
         /** Number of rounds between heartbeats to those seed addresses that are not known hosts. */
-        const val SEED_ROUNDS = 4
-        val SEED_INTERVAL = 1.seconds
+        private const val SEED_ROUNDS = 4
+        private val SEED_INTERVAL = 1.seconds
 
         /** Hosts with a longer heartbeat interval do not share replicas with this one and get no activity. */
-        val ACTIVITY_INTERVAL = 500.milliseconds
+        private val ACTIVITY_INTERVAL = 500.milliseconds
 
         /** Interval announced by a host that shuts down; it keeps sending heartbeats while it serves requests. */
-        val LEAVING_INTERVAL = 1.seconds
+        private val LEAVING_INTERVAL = 1.seconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -7,8 +7,8 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import org.buckthornwheel.decision.attempt.HedgeVerdict
 import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.decision.attempt.HedgeVerdict
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
