--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -138,7 +138,7 @@
     /** Closes the connection if its caller keeps memory without progress that others wait for. */
     fun relieve(shortage: MemoryShortage) {
         val now = MonotonicClock.SYSTEM.now()
-        val patience = if (shortage.ofResponses) PATIENCE_UNDER_PRESSURE else PATIENCE
+        val patience = if (shortage.ofResponses) PATIENCE_UNDER_PRESSURE else resources.limits().idleTimeout
         when {
             isClosing -> Unit
 
@@ -307,10 +307,10 @@
         /** Interval between checks whether a waiting request can be started; small compared to a target latency. */
         val START_CHECK_INTERVAL = 10.milliseconds
 
-        /** Time without reading after which a caller is taken to read no more of its response. */
-        val PATIENCE = 5.seconds
-
-        /** Same as [PATIENCE] while others need the memory; several retransmissions of lost packets. */
+        /**
+         * Time without reading after which a caller is taken to read no more of its response while others need the
+         * memory; several retransmissions of lost packets. Otherwise, it has the time for which it may be idle.
+         */
         val PATIENCE_UNDER_PRESSURE = 2.seconds
     }
 }
