Failing test: a pause is lost if the replica was registered again meanwhile

Cause: ReplicaAnnouncements records a pause in the state that the attempt began with; after a removal and a new registration of the same run, the registry holds another state, which learns nothing of it. Leaving is recorded in the registry and holds.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PausedReplicaTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PausedReplicaTest.kt
@@ -6,8 +6,10 @@
 
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.fixture.HostWithReplicas
 import org.buckthornwheel.forwarding.fixture.RawResponse
+import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.fixture.rejection
 import org.buckthornwheel.forwarding.fixture.signedResponse
 import org.junit.jupiter.api.AfterEach
@@ -22,9 +24,11 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -94,6 +98,27 @@
         expectThat(replica.requests.size).isEqualTo(received)
     }
 
+    /** As when the replica's entry expired while the store was down and was then written again. */
+    @Test
+    fun `a pause that is asked for after the replica was registered again holds`() {
+        val isRegisteredAgain = CountDownLatch(1)
+        val replica = fixture.replica("r1") { request ->
+            val isFirst = rejections.getAndIncrement() == 0
+            if (isFirst) isRegisteredAgain.await()
+            send(if (isFirst) rejection(request, "Retry-After: 3\r\n") else signedResponse(request, "answer"))
+        }
+        val first = thread { send() }
+        awaitUntil { replica.requests.size == 1 }
+        fixture.host.process.replicas.remove(ReplicaId("r1"))
+        fixture.host.add("r1", replica)
+        isRegisteredAgain.countDown()
+        first.join()
+        Thread.sleep(SLACK.inWholeMilliseconds)
+        val received = replica.requests.size
+        repeat(3) { send() }
+        expectThat(replica.requests.size).isEqualTo(received)
+    }
+
     @Test
     fun `values that are no pause cause none`() {
         pausing("r1", "0", "-5", "NaN", "Wed, 21 Oct 2015 07:28:00 GMT")
