Failing test: an announcement of a new run counts for the run before

Cause: an announcement is attributed to the run that is registered when the request is placed. If the replica has started anew under its identifier and the host does not know that yet, its entry undoes the announcement. Result: fails on: 2 requests instead of 1. The test beside it, of a new start at its address, uses a start time of 1; a mend by time needs one after the announcement there.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/LeavingReplicaTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/LeavingReplicaTest.kt
@@ -106,6 +106,19 @@
         expectThat(replica.requests.size).isEqualTo(2)
     }
 
+    /** The store delivers the entry of the new run only after its first responses, as when the host is behind. */
+    @Test
+    fun `a new run that announced leaving before the host knew its registration gets no more requests`() {
+        val replica = leaving()
+        host.add("r1", replica, startedAt = System.currentTimeMillis() - 60_000)
+        val restartedAt = System.currentTimeMillis()
+        Thread.sleep(50)
+        send()
+        host.add("r1", replica, startedAt = restartedAt)
+        send()
+        expectThat(replica.requests.size).isEqualTo(1)
+    }
+
     @Test
     fun `other hosts learn of it`() {
         val second = host("host-2", host)
