Leaving is final for a run of a replica, and late writes of older entries are ignored

What callers saw: requests at a replica that had been registered as leaving, or had announced it, up to its end (DRAIN). Cause: the newest entry in the store decided alone. A write of a replica may be executed seconds late, also after its later ones and after its entry was removed; such an entry says ready again, or belongs to an earlier start, and undid what was known. Change: registrations of a run are ordered by the count in its entries; older ones are ignored for 30 s, also after the removal. A run that was registered as leaving stays so, like one that announced it. Where runs cannot be told apart (no start time), the newest entry decides as before.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
@@ -5,7 +5,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Remembers the runs of replicas that announced that they are leaving.
+ * Remembers the runs of replicas that are leaving.
  *
  * Kept apart from the registrations: a host may learn of it before it knows the registration, and an old registration
  * may be read again after the replica was removed. Thread-safe.
@@ -13,12 +13,15 @@
 internal class LeavingReplicas {
     private val lock = Any()
 
-    /** The time of the announcement to this host; null if another host reported it. */
+    /** The time of the announcement to this host; null if it was registered or another host reported it. */
     private val announcedAt = LinkedHashMap<ReplicaRun, MonotonicInstant?>()
 
-    /** Adds [run], which announced itself at [at], or null if another host reported it; false if it is known. */
+    /**
+     * Adds [run], which announced to this host at [at] that it is leaving, or null if it was registered as leaving or
+     * another host reported it. Returns false if that is known.
+     */
     fun add(run: ReplicaRun, at: MonotonicInstant?): Boolean = synchronized(lock) {
-        if (run in announcedAt) return@synchronized false
+        if (run in announcedAt && (at == null || announcedAt[run] != null)) return@synchronized false
         announcedAt[run] = at
         if (announcedAt.size > MAXIMUM_RUNS) announcedAt.remove(announcedAt.keys.first())
         true
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RegistrationOrder.kt
@@ -0,0 +1,43 @@
+package org.buckthornwheel.decision.replica
+
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Recognizes registrations of replicas that are older than one that was read before.
+ *
+ * A replica's write to the store may be executed after its later ones, and after its registration was removed. Not
+ * thread-safe.
+ */
+public class RegistrationOrder {
+    private class Newest(val startedAt: Long, val sequence: Long?, val at: MonotonicInstant)
+
+    private val newest = LinkedHashMap<ReplicaId, Newest>()
+
+    /** Whether [replica], read at [now], is not older than what was read before; if so, it is remembered. */
+    public fun admit(replica: Replica, now: MonotonicInstant): Boolean {
+        val known = newest.remove(replica.id)
+        if (known != null && now - known.at <= REMEMBERED_FOR && isOlder(replica, known)) {
+            newest[replica.id] = known
+            return false
+        }
+        newest[replica.id] = Newest(replica.startedAt, replica.sequence, now)
+        if (newest.size > MAXIMUM_REPLICAS) newest.remove(newest.keys.first())
+        return true
+    }
+
+    private fun isOlder(replica: Replica, known: Newest): Boolean = when {
+        replica.startedAt != known.startedAt -> replica.startedAt < known.startedAt
+        replica.startedAt == Replica.UNKNOWN_START -> false
+        replica.sequence == null || known.sequence == null -> false
+        else -> replica.sequence < known.sequence
+    }
+
+    private companion object {
+        /** Several times the delay of a late write; a replica whose clock was set back is only ignored for this time. */
+        val REMEMBERED_FOR = 30.seconds
+
+        /** As many replicas as a large deployment has. */
+        const val MAXIMUM_REPLICAS = 1_024
+    }
+}
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/Replica.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/Replica.kt
@@ -16,7 +16,9 @@
  *
  * @property slots number of requests that it processes concurrently.
  * @property isDraining whether it has announced that it is shutting down.
- * @property startedAt start time in Unix milliseconds, by which a restart under the same id is recognized.
+ * @property startedAt start time in Unix milliseconds, by which a restart under the same id is recognized;
+ *   [UNKNOWN_START] if it is not known.
+ * @property sequence number of the registration among those of the same run; null if it is not known.
  */
 public data class Replica(
     public val id: ReplicaId,
@@ -27,4 +29,11 @@
     public val slots: Int,
     public val isDraining: Boolean,
     public val startedAt: Long,
-)
+    public val sequence: Long? = null,
+) {
+    /** Predefined values. */
+    public companion object {
+        /** Start time of a replica that does not tell it; its runs cannot be distinguished. */
+        public const val UNKNOWN_START: Long = 0
+    }
+}
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -39,11 +39,19 @@
         val state = existing ?: ReplicaState(replica, tokenCapacity).also { states[replica.id] = it }
         existing?.register(replica, tokenCapacity)
         removed.remove(replica.id)?.let(state::adopt)
-        if (ReplicaRun(replica.id, replica.startedAt) in leaving) state.recordLeaving(replica.startedAt)
+        applyLeaving(state)
         if (coldUntil != null) state.markColdUntil(coldUntil)
         rebuildIndex()
     }
 
+    /** A run that is registered as leaving does not return, although its registration may say ready again. */
+    private fun applyLeaving(state: ReplicaState) {
+        val replica = state.current
+        val run = ReplicaRun(replica.id, replica.startedAt)
+        if (replica.isDraining && replica.startedAt != Replica.UNKNOWN_START) leaving.add(run, at = null)
+        if (run in leaving) state.recordLeaving(run.startedAt)
+    }
+
     /**
      * Marks the replicas of [zone] as cold for [REOPENED_ZONE_COLD_TIME] after [now], since the zone was reopened.
      *
@@ -71,7 +79,7 @@
      */
     public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?): Boolean {
         val isNew = leaving.add(run, at)
-        if (isNew) states[run.replica]?.recordLeaving(run.startedAt)
+        if (isNew) states[run.replica]?.let(::applyLeaving)
         return isNew
     }
 
