An announcement counts for the run that had started before it

What callers saw: requests at a replica after it had announced that it is leaving (DRAIN), if it had been started again under its identifier shortly before. Cause: a response was attributed to the run that the host knew when it sent the request. The entry of a new run can arrive after its first responses, above all while a host has no access to the store; the run then counted as one that had announced nothing. Change: when the registration of a later run arrives, and that run had started before the announcement, the announcement was its own. The start time and the host's time of day are compared; a replica serves three seconds after its announcement, so that clocks which differ by less cannot make a run that starts afterwards count as leaving.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
@@ -11,27 +11,41 @@
  * may be read again after the replica was removed. Thread-safe.
  */
 internal class LeavingReplicas {
-    private val lock = Any()
+    /** When a run announced to this host that it is leaving; both are null if this host learned of it otherwise. */
+    private class Announcement(val at: MonotonicInstant?, val unixMilliseconds: Long?)
 
-    /** The time of the announcement to this host; null if it was registered or another host reported it. */
-    private val announcedAt = LinkedHashMap<ReplicaRun, MonotonicInstant?>()
+    private val lock = Any()
+    private val announcements = LinkedHashMap<ReplicaRun, Announcement>()
 
     /**
-     * Adds [run], which announced to this host at [at] that it is leaving, or null if it was registered as leaving or
-     * another host reported it. Returns false if that is known.
+     * Adds [run], which announced to this host at [at], in Unix milliseconds at [unixMilliseconds], that it is leaving;
+     * null if it was registered as leaving or another host reported it. Returns false if that is known.
      */
-    fun add(run: ReplicaRun, at: MonotonicInstant?): Boolean = synchronized(lock) {
-        if (run in announcedAt && (at == null || announcedAt[run] != null)) return@synchronized false
-        announcedAt[run] = at
-        if (announcedAt.size > MAXIMUM_RUNS) announcedAt.remove(announcedAt.keys.first())
+    fun add(run: ReplicaRun, at: MonotonicInstant?, unixMilliseconds: Long? = null): Boolean = synchronized(lock) {
+        val known = announcements[run]
+        if (known != null && (at == null || known.at != null)) return@synchronized false
+        announcements[run] = Announcement(at, unixMilliseconds)
+        if (announcements.size > MAXIMUM_RUNS) announcements.remove(announcements.keys.first())
         true
     }
 
-    operator fun contains(run: ReplicaRun): Boolean = synchronized(lock) { run in announcedAt }
+    operator fun contains(run: ReplicaRun): Boolean = synchronized(lock) { run in announcements }
+
+    /**
+     * Whether an announcement that was taken for that of an earlier run must have been that of [run], which had started
+     * before it. The registration of a new run can arrive after its first responses.
+     */
+    fun includesUnregistered(run: ReplicaRun): Boolean = synchronized(lock) {
+        announcements.any { (known, announcement) ->
+            val isEarlierRun = known.replica == run.replica && known.startedAt < run.startedAt
+            val until = announcement.unixMilliseconds
+            isEarlierRun && known.startedAt != Replica.UNKNOWN_START && until != null && run.startedAt <= until
+        }
+    }
 
     /** The runs to report to other hosts at [now]: the newest that announced themselves to this host. */
     fun toReport(now: MonotonicInstant): List<ReplicaRun> = synchronized(lock) {
-        announcedAt.entries.filter { (_, at) -> at != null && now - at <= REPORTED_FOR }
+        announcements.entries.filter { (_, it) -> it.at != null && now - it.at <= REPORTED_FOR }
             .takeLast(MAXIMUM_REPORTED).map { it.key }
     }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -48,7 +48,8 @@
     private fun applyLeaving(state: ReplicaState) {
         val replica = state.current
         val run = ReplicaRun(replica.id, replica.startedAt)
-        if (replica.isDraining && replica.startedAt != Replica.UNKNOWN_START) leaving.add(run, at = null)
+        val isRegisteredSo = replica.isDraining && replica.startedAt != Replica.UNKNOWN_START
+        if (isRegisteredSo || leaving.includesUnregistered(run)) leaving.add(run, at = null)
         if (run in leaving) state.recordLeaving(run.startedAt)
     }
 
@@ -74,11 +75,11 @@
     }
 
     /**
-     * Records that [run] announced that it is leaving, to this host at [at], or to another one if that is null. Returns
-     * false if it was known.
+     * Records that [run] announced that it is leaving, to this host at [at], in Unix milliseconds at
+     * [unixMilliseconds], or to another one if these are null. Returns false if it was known.
      */
-    public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?): Boolean {
-        val isNew = leaving.add(run, at)
+    public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?, unixMilliseconds: Long? = null): Boolean {
+        val isNew = leaving.add(run, at, unixMilliseconds)
         if (isNew) states[run.replica]?.let(::applyLeaving)
         return isNew
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAnnouncements.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAnnouncements.kt
@@ -25,7 +25,7 @@
     }
 
     private fun recordLeaving() {
-        if (!context.replicas.recordLeaving(run, context.clock.now())) return
+        if (!context.replicas.recordLeaving(run, context.clock.now(), System.currentTimeMillis())) return
         context.log.write(LogPart.REPLICA, "announced leaving") {
             put("replica", run.replica.value)
             put("run", run.startedAt)
