A replica that is registered again continues with its state

What callers saw: requests at a replica that had asked for a pause (BUDGET), if its entry had expired and been written again while the request that brought the pause was in progress. Cause: a new registration made a new state. Attempts in progress told the old one what the replica said, and took it from the old one, too, so that the new one neither knew pauses nor the requests in progress. Change: the state is kept after the registration ends (256 of them), and used again; another run resets it as before. What copied single figures from one state to another is not needed any more.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
@@ -95,12 +95,6 @@
         if (!isBefore(until, pausedUntil)) pausedUntil = until
     }
 
-    /** Keeps the longer of this pause and that of [other], which is the same run of the replica. */
-    fun adopt(other: ReplicaAdmission) {
-        isLeaving = isLeaving || other.isLeaving
-        pausedUntil = listOfNotNull(pausedUntil, other.pausedUntil).maxOrNull()
-    }
-
     /** Records a response that shows that the replica works. */
     fun recordSuccess() {
         failures = 0
@@ -120,9 +114,6 @@
         }
     }
 
-    /** Whether the replica has announced that it is leaving or has asked for a pause. */
-    val hasAnnouncement: Boolean get() = isLeaving || pausedUntil != null
-
     /**
      * Why [replica] gets no new request at [now]; null if it may. This host has [ownRequests] in progress there;
      * [isSilent] is whether it sends nothing although it has some.
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -14,8 +14,8 @@
 
     private val leaving = LeavingReplicas()
 
-    /** Replicas that said they want no requests and whose registration ended; the same run may be registered again. */
-    private val removed = ConcurrentHashMap<ReplicaId, ReplicaState>()
+    /** Replicas whose registration ended; the same run may be registered again, and attempts still refer to it. */
+    private val removed = RemovedReplicas()
 
     @Volatile
     private var byService: Map<ServiceName, List<ReplicaState>> = emptyMap()
@@ -35,10 +35,9 @@
 
     /** Adds or updates [replica] and marks it as cold until [coldUntil], if given. */
     public fun put(replica: Replica, tokenCapacity: Long, coldUntil: MonotonicInstant?) {
-        val existing = states[replica.id]
-        val state = existing ?: ReplicaState(replica, tokenCapacity).also { states[replica.id] = it }
-        existing?.register(replica, tokenCapacity)
-        removed.remove(replica.id)?.let(state::adopt)
+        val state = states[replica.id] ?: removed.take(replica.id) ?: ReplicaState(replica, tokenCapacity)
+        state.register(replica, tokenCapacity)
+        states[replica.id] = state
         applyLeaving(state)
         if (coldUntil != null) state.markColdUntil(coldUntil)
         rebuildIndex()
@@ -64,13 +63,10 @@
         for (state in states.values) if (state.current.zone == zone) state.markColdUntil(now + REOPENED_ZONE_COLD_TIME)
     }
 
-    /** Removes the replica [id]; requests in flight keep a reference to its state. */
+    /** Removes the replica [id]; requests in progress keep a reference to its state. */
     public fun remove(id: ReplicaId) {
         val state = states.remove(id) ?: return
-        if (state.hasAnnouncement) {
-            if (removed.size >= MAXIMUM_REMOVED) removed.keys.firstOrNull()?.let(removed::remove)
-            removed[id] = state
-        }
+        removed.add(id, state)
         rebuildIndex()
     }
 
@@ -115,9 +111,6 @@
     }
 
     private companion object {
-        /** Limit on memory. */
-        const val MAXIMUM_REMOVED = 256
-
         /** Replicas renew their entries every 1.2 s, and within two seconds of a store recovery (users' pages). */
         val REOPENED_ZONE_COLD_TIME = 3.seconds
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -82,20 +82,10 @@
         if (startedAt == replica.startedAt) admission.recordPause(pause, now)
     }
 
-    /** Keeps what the replica said of itself in responses while it had the state [earlier], if it is the same run. */
-    internal fun adopt(earlier: ReplicaState): Unit = synchronized(lock) {
-        synchronized(earlier.lock) {
-            if (earlier.replica.startedAt == replica.startedAt) admission.adopt(earlier.admission)
-        }
-    }
-
     /** Why the replica gets no new request at [now]; null if it may. */
     public fun restriction(now: MonotonicInstant): ReplicaRestriction? =
         synchronized(lock) { admission.restriction(replica, own.requests, isSilent(now), now) }
 
-    /** Whether the replica has said that it wants no requests, which is remembered after its registration ends. */
-    internal val hasAnnouncement: Boolean get() = synchronized(lock) { admission.hasAnnouncement }
-
     /** Marks the replica as cold until [until], unless it is known to be cold for longer. */
     public fun markColdUntil(until: MonotonicInstant): Unit = synchronized(lock) {
         if (isBefore(until, coldUntil)) return@synchronized
