A standby host follows only primary hosts that it hears

What callers saw: a confirmed manifest not in force after three seconds at a standby host whose only primary host was frozen (CONFIG). Cause: it counted on the primary host until three heartbeats of a second were missing, and looked every half second. Change: after 1.5 s without a heartbeat of a primary host of its region it reads the store itself. A single lost heartbeat costs one call to the store.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -109,11 +109,15 @@
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHostProfile> =
         snapshot(now).forwardingTargets.filter { it.region == region }
 
-    /** Whether this host is a standby host that copies its state from live primary hosts of its region. */
+    /** Whether this host is a standby host that copies its state from primary hosts of its region, which are heard. */
     public fun followsPrimaries(now: MonotonicInstant): Boolean {
         val current = snapshot(now)
         if (self in current.primaries) return false
-        return current.ready.any { it.region == self.region && it in current.primaries }
+        return current.ready.any { it.region == self.region && it in current.primaries && isFollowed(it.name, now) }
+    }
+
+    private fun isFollowed(name: HostName, now: MonotonicInstant): Boolean = synchronized(lock) {
+        known[name]?.heardAt?.let { now - it < FOLLOWED_SILENCE } ?: false
     }
 
     /** The other regions that have a host to which requests may be forwarded. */
@@ -197,6 +201,9 @@
         /** Minimum silence after which a host counts as dead; several heartbeats, since datagrams get lost. */
         private val MINIMUM_DEAD_AFTER = 1_500.milliseconds
 
+        /** Silence of a primary host after which a standby host reads the store itself; it must not miss a change. */
+        private val FOLLOWED_SILENCE = 1_500.milliseconds
+
         /** Missed heartbeats after which a host counts as dead. */
         private const val MISSED_HEARTBEATS = 3
 
