--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -14,8 +14,8 @@
 
     private val leaving = LeavingReplicas()
 
-    /** Replicas that said they want no requests and whose registration ended; the same run may be registered again. */
-    private val removed = ConcurrentHashMap<ReplicaId, ReplicaState>()
+    /** Replicas whose registration ended; the same run may be registered again, and attempts still refer to it. */
+    private val removed = RemovedReplicas()
 
     @Volatile
     private var byService: Map<ServiceName, List<ReplicaState>> = emptyMap()
@@ -35,15 +35,23 @@
 
     /** Adds or updates [replica] and marks it as cold until [coldUntil], if given. */
     public fun put(replica: Replica, tokenCapacity: Long, coldUntil: MonotonicInstant?) {
-        val existing = states[replica.id]
-        val state = existing ?: ReplicaState(replica, tokenCapacity).also { states[replica.id] = it }
-        existing?.register(replica, tokenCapacity)
-        removed.remove(replica.id)?.let(state::adopt)
-        if (ReplicaRun(replica.id, replica.startedAt) in leaving) state.recordLeaving(replica.startedAt)
+        val state = states[replica.id] ?: removed.take(replica.id) ?: ReplicaState(replica, tokenCapacity)
+        state.register(replica, tokenCapacity)
+        states[replica.id] = state
+        applyLeaving(state)
         if (coldUntil != null) state.markColdUntil(coldUntil)
         rebuildIndex()
     }
 
+    /** A run that is registered as leaving does not return, although its registration may say ready again. */
+    private fun applyLeaving(state: ReplicaState) {
+        val replica = state.current
+        val run = ReplicaRun(replica.id, replica.startedAt)
+        val isRegisteredSo = replica.isDraining && replica.startedAt != Replica.UNKNOWN_START
+        if (isRegisteredSo || leaving.includesUnregistered(run)) leaving.add(run, at = null)
+        if (run in leaving) state.recordLeaving(run.startedAt)
+    }
+
     /**
      * Marks the replicas of [zone] as cold for [REOPENED_ZONE_COLD_TIME] after [now], since the zone was reopened.
      *
@@ -55,23 +63,20 @@
         for (state in states.values) if (state.current.zone == zone) state.markColdUntil(now + REOPENED_ZONE_COLD_TIME)
     }
 
-    /** Removes the replica [id]; requests in flight keep a reference to its state. */
+    /** Removes the replica [id]; requests in progress keep a reference to its state. */
     public fun remove(id: ReplicaId) {
         val state = states.remove(id) ?: return
-        if (state.hasAnnouncement) {
-            if (removed.size >= MAXIMUM_REMOVED) removed.keys.firstOrNull()?.let(removed::remove)
-            removed[id] = state
-        }
+        removed.add(id, state)
         rebuildIndex()
     }
 
     /**
-     * Records that [run] announced that it is leaving, to this host at [at], or to another one if that is null. Returns
-     * false if it was known.
+     * Records that [run] announced that it is leaving, to this host at [at], in Unix milliseconds at
+     * [unixMilliseconds], or to another one if these are null. Returns false if it was known.
      */
-    public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?): Boolean {
-        val isNew = leaving.add(run, at)
-        if (isNew) states[run.replica]?.recordLeaving(run.startedAt)
+    public fun recordLeaving(run: ReplicaRun, at: MonotonicInstant?, unixMilliseconds: Long? = null): Boolean {
+        val isNew = leaving.add(run, at, unixMilliseconds)
+        if (isNew) states[run.replica]?.let(::applyLeaving)
         return isNew
     }
 
@@ -106,9 +111,6 @@
     }
 
     private companion object {
-        /** Limit on memory. */
-        const val MAXIMUM_REMOVED = 256
-
         /** Replicas renew their entries every 1.2 s, and within two seconds of a store recovery (users' pages). */
         val REOPENED_ZONE_COLD_TIME = 3.seconds
     }
