--- a/decision/src/main/kotlin/org/buckthornwheel/decision/account/share/QuotaReport.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/account/share/QuotaReport.kt
@@ -1,26 +1,27 @@
 /*
- * What hosts tell each other about the use of account limits.
+ * What hosts tell each other about the use of limits that they share.
  *
- * Counters are cumulative, so that a lost report is made up for by the next one. Accounts are named by a hash, which is
- * shorter than most names; two accounts with the same hash would count against each other.
+ * Counters are cumulative, so that a lost report is made up for by the next one. Accounts and runs of replicas are
+ * named by a hash, which is shorter than most names; two with the same hash would count against each other.
  */
 
 package org.buckthornwheel.decision.account.share
 
 import org.buckthornwheel.api.AccountName
+import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.buckthornwheel.decision.routing.HashMixing
 
 /**
- * Use of one account at the reporting host.
+ * Use of one limit at the reporting host.
  *
- * @property account hash of its name, see [AccountHash].
+ * @property key hash of the account's name or the replica's run, see [AccountHash] and [ReplicaRunHash].
  * @property used units admitted since the host started to count.
  * @property demand units a second that callers recently asked for, admitted or not.
  */
-public data class ReportedUse(public val account: Long, public val used: Long, public val demand: Long)
+public data class ReportedUse(public val key: Long, public val used: Long, public val demand: Long)
 
 /**
- * Use of some accounts at the reporting host; accounts that are not listed have changed little.
+ * Use of some limits at the reporting host; limits that are not listed have changed little.
  *
  * @property sequence number of the report; a higher one is newer.
  */
@@ -41,20 +42,30 @@
         /** The report for a receiver that was sent neither the [former] round's nor the [newest]; null for nothing. */
         public fun merged(former: QuotaReport?, newest: QuotaReport?): QuotaReport? {
             if (former == null || newest == null) return newest ?: former
-            val again = newest.uses.mapTo(HashSet()) { it.account }
-            return QuotaReport(newest.sequence, newest.uses + former.uses.filter { it.account !in again })
+            val again = newest.uses.mapTo(HashSet()) { it.key }
+            return QuotaReport(newest.sequence, newest.uses + former.uses.filter { it.key !in again })
         }
     }
 }
 
 /** Hashes of account names. */
 public object AccountHash {
+    /** The hash of [account], a number of 32 bits. */
+    public fun of(account: AccountName): Long = ShortHash.of(account.value, account.value.length.toLong())
+}
+
+/** Hashes of runs of replicas. */
+public object ReplicaRunHash {
+    /** The hash of [run], a number of 32 bits. */
+    public fun of(run: ReplicaRun): Long = ShortHash.of(run.replica.value, run.startedAt)
+}
+
+private object ShortHash {
     private const val BITS = 32
     private const val MULTIPLIER = 31L
 
-    /** The hash of [account], a number of 32 bits. */
-    public fun of(account: AccountName): Long {
-        val folded = account.value.fold(0L) { hash, character -> hash * MULTIPLIER + character.code }
-        return HashMixing.mix(folded, account.value.length.toLong()) ushr (Long.SIZE_BITS - BITS)
+    fun of(text: String, number: Long): Long {
+        val folded = text.fold(0L) { hash, character -> hash * MULTIPLIER + character.code }
+        return HashMixing.mix(folded, number) ushr (Long.SIZE_BITS - BITS)
     }
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/account/share/AccountBucket.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/account/share/SharedBucket.kt
@@ -2,22 +2,21 @@
 
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicInstant
-import org.buckthornwheel.decision.account.AccountLimit
 import org.buckthornwheel.decision.account.QuotaVerdict
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /**
- * The bucket of one account over all hosts, as this host knows it.
+ * The bucket of one limit over all hosts, as this host knows it; [key] is its name in reports.
  *
  * What other hosts used is taken from the level when they tell it. What this host used and the others may not know yet
  * may be at most its share of the bucket, so that all hosts together find the bucket empty at the same time.
  */
-internal class AccountBucket(private val account: Long, private val startedAt: MonotonicInstant, silentPart: Double) {
+internal class SharedBucket(private val key: Long, private val startedAt: MonotonicInstant, silentPart: Double) {
     private val own = OwnUse()
     private val remote = RemoteUses()
-    private var limit: AccountLimit? = null
+    private var limit: SharedLimit? = null
     private var level = 0.0
     private var refilledAt = startedAt
     private var endedRoundAt = startedAt
@@ -30,11 +29,18 @@
         remote.begin(silentPart)
     }
 
-    /** Takes [cost] units if they are within this host's share, whose bounds [view] tells. */
+    /** Takes the units of [claim] if they are within this host's share, whose bounds [view] tells. */
     @Synchronized
-    fun admit(limit: AccountLimit, cost: Double, view: SharersView, draw: Double, now: MonotonicInstant): QuotaVerdict {
+    fun admit(
+        limit: SharedLimit,
+        claim: SharedClaim,
+        view: SharersView,
+        draw: Double,
+        now: MonotonicInstant,
+    ): QuotaVerdict {
+        val cost = claim.cost
         refill(limit, now)
-        own.recordDemand(cost, now)
+        own.recordDemand(claim.demand, now)
         val part = maxOf(share, view.leastShare).coerceAtMost(view.mostShare)
         val unknown = maxOf(0.0, own.unknown)
         val allowed = part * (level + unknown)
@@ -82,8 +88,7 @@
         val added = remote.receive(host, report, now)
         val present = limit ?: return
         refill(present, now)
-        val least = -WINDOW_SECONDS * present.ratePerSecond - present.burst
-        level = (level - added).coerceIn(least, capacity(present))
+        level = (level - added).coerceIn(leastLevel(present), capacity(present))
     }
 
     /** Forgets the use of the former incarnation of [host]. */
@@ -96,7 +101,7 @@
 
     /** The report of this host's use, which the others know soon after [now]. */
     @Synchronized
-    fun tell(now: MonotonicInstant): ReportedUse = own.tell(account, now)
+    fun tell(now: MonotonicInstant): ReportedUse = own.tell(key, now)
 
     /** Whether there were no requests for a while. */
     @Synchronized
@@ -108,8 +113,9 @@
     fun state(now: MonotonicInstant): BucketState =
         BucketState(limit?.ratePerSecond ?: 0.0, level, share, own.demand, now - endedRoundAt)
 
-    private fun refill(current: AccountLimit, now: MonotonicInstant) {
+    private fun refill(current: SharedLimit, now: MonotonicInstant) {
         if (limit == null && remote.toldDemand > current.ratePerSecond) refilledAt = now
+        if (limit != null && limit != current) level = maxOf(level, leastLevel(current))
         limit = current
         val seconds = maxOf(0.0, (now - refilledAt).toDouble(DurationUnit.SECONDS))
         refilledAt = now
@@ -120,10 +126,12 @@
      * With less than what is used during one exchange of reports, the hosts could not use the rate. The two sides of a
      * partition each keep a part, as each would otherwise save up a whole burst.
      */
-    private fun capacity(limit: AccountLimit): Double =
+    private fun capacity(limit: SharedLimit): Double =
         maxOf(limit.burst, limit.ratePerSecond * EXCHANGE_SECONDS) * (1 - remote.silentShare)
 
-    private fun retryAfter(missing: Double, limit: AccountLimit, draw: Double) =
+    private fun leastLevel(limit: SharedLimit): Double = -WINDOW_SECONDS * limit.ratePerSecond - limit.burst
+
+    private fun retryAfter(missing: Double, limit: SharedLimit, draw: Double) =
         (missing / maxOf(limit.ratePerSecond, LEAST_RATE)).seconds.coerceIn(SHORTEST_WAIT, LONGEST_WAIT) * (1 + draw)
 
     private companion object {
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/account/share/QuotaPlay.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/account/share/QuotaPlay.kt
@@ -6,6 +6,8 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.account.AccountLimit
 import org.buckthornwheel.decision.account.QuotaVerdict
+import org.buckthornwheel.decision.quarantine.ReplicaRun
+import org.buckthornwheel.decision.replica.ReplicaId
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -17,15 +19,71 @@
     val unitsPerSecond: (second: Double, host: Int) -> Double,
 )
 
-/** Disturbances of messages: shares that are lost, doubled, or late by up to a second, and links that are cut. */
+/**
+ * Disturbances: messages that are lost, doubled, or late by up to a second, links that are cut, and hosts that restart
+ * or, while [isFrozen], do nothing and read their messages later.
+ */
 internal class Disturbance(
     val lost: Double = 0.0,
     val doubled: Double = 0.0,
     val late: Double = 0.0,
     val isCut: (second: Double, from: Int, to: Int) -> Boolean = { _, _, _ -> false },
     val restartsAt: (host: Int) -> Double? = { null },
+    val isFrozen: (second: Double, host: Int) -> Boolean = { _, _ -> false },
 )
 
+/** One host of a play. */
+internal interface PlayedHost {
+    fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant): QuotaVerdict
+
+    fun endRound(mostUses: Double, now: MonotonicInstant): QuotaReport?
+
+    fun receive(name: HostName, incarnation: Incarnation, report: QuotaReport?, now: MonotonicInstant)
+}
+
+/** What is played: the hosts that share, and what each of them keeps. */
+internal class PlayedSharing(
+    val scope: SharingScope,
+    val newHost: (QuotaSharers, MonotonicInstant, draw: () -> Double) -> PlayedHost,
+) {
+    companion object {
+        val ACCOUNTS = PlayedSharing(SharingScope.ALL_REGIONS) { sharers, at, draw ->
+            val quotas = SharedAccountQuotas(sharers, at, draw)
+            object : PlayedHost {
+                override fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant) =
+                    quotas.admit(account, limit, cost, now)
+
+                override fun endRound(mostUses: Double, now: MonotonicInstant) = quotas.endRound(mostUses, now)
+
+                override fun receive(
+                    name: HostName,
+                    incarnation: Incarnation,
+                    report: QuotaReport?,
+                    now: MonotonicInstant,
+                ) = quotas.receive(name, incarnation, report, now)
+            }
+        }
+
+        /** Replicas that have the names of the accounts, at hosts of one region. */
+        val REPLICAS = PlayedSharing(SharingScope.OWN_REGION) { sharers, at, draw ->
+            val limits = SharedReplicaLimits(sharers, at, draw)
+            object : PlayedHost {
+                override fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant) =
+                    limits.take(ReplicaRun(ReplicaId(account.value), 0), limit.ratePerSecond, isRepeated = false, now)
+
+                override fun endRound(mostUses: Double, now: MonotonicInstant) = limits.endRound(mostUses, now)
+
+                override fun receive(
+                    name: HostName,
+                    incarnation: Incarnation,
+                    report: QuotaReport?,
+                    now: MonotonicInstant,
+                ) = limits.receive(name, incarnation, report, now)
+            }
+        }
+    }
+}
+
 /** Plays primary hosts of several regions that share limits, in steps of 10 ms, without a network. */
 internal class QuotaPlay(
     private val primaries: Int,
@@ -34,6 +92,8 @@
     private val traffic: List<Traffic>,
     private val disturbance: Disturbance = Disturbance(),
     seed: Int = 1,
+    private val sharing: PlayedSharing = PlayedSharing.ACCOUNTS,
+    private val limitAt: (AccountName, second: Double) -> AccountLimit = { name, _ -> limit(name) },
 ) {
     private class Message(val at: Int, val from: Int, val incarnation: Long, val to: Int, val report: QuotaReport?)
 
@@ -42,7 +102,7 @@
     private val names = List(primaries) { HostName("host-$it") }
     private val views = names.map {
         val others = names.toSet() - it
-        SharersView(SharersView.unannouncedShare(primaries), 1.0, others, reserved = others)
+        sharing.scope.view(primaries, 1.0, others, reserved = others)
     }
     private val hosts = Array(primaries) { newHost(it, START) }
     private val former = arrayOfNulls<QuotaReport>(primaries)
@@ -54,8 +114,7 @@
     val possible = HashMap<AccountName, ArrayList<Double>>()
     private val levels = HashMap<AccountName, Double>()
 
-    private fun newHost(host: Int, at: MonotonicInstant) =
-        SharedAccountQuotas({ views[host] }, at) { random.nextDouble() }
+    private fun newHost(host: Int, at: MonotonicInstant) = sharing.newHost({ views[host] }, at) { random.nextDouble() }
 
     private fun time(step: Int) = START + (step * STEP_MILLISECONDS).milliseconds
 
@@ -63,7 +122,7 @@
         for (step in 0 until (seconds * STEPS_PER_SECOND).toInt()) {
             restart(step)
             while (pending.isNotEmpty() && pending.peek().at <= step) deliver(pending.poll(), step)
-            for (host in 0 until primaries) if ((step + offsets[host]) % ROUND_STEPS == 0) tell(host, step)
+            for (host in tellingHosts(step)) tell(host, step)
             for (account in traffic.map { it.account }.distinct()) serve(account, step)
         }
     }
@@ -77,8 +136,19 @@
         }
     }
 
-    private fun deliver(message: Message, step: Int) = hosts[message.to]
-        .receive(names[message.from], Incarnation(message.incarnation), message.report, time(step))
+    private fun tellingHosts(step: Int) =
+        (0 until primaries).filter { (step + offsets[it]) % ROUND_STEPS == 0 && !isFrozen(it, step) }
+
+    private fun isFrozen(host: Int, step: Int) = disturbance.isFrozen(step / STEPS_PER_SECOND, host)
+
+    private fun deliver(message: Message, step: Int) {
+        if (isFrozen(message.to, step)) {
+            pending += Message(step + 1, message.from, message.incarnation, message.to, message.report)
+            return
+        }
+        hosts[message.to]
+            .receive(names[message.from], Incarnation(message.incarnation), message.report, time(step))
+    }
 
     private fun tell(host: Int, step: Int) {
         val report = hosts[host].endRound(QuotaReport.usesPerRound(primaries - 1), time(step))
@@ -102,12 +172,13 @@
     }
 
     private fun serve(account: AccountName, step: Int) {
-        val limit = limit(account)
+        val limit = limitAt(account, step / STEPS_PER_SECOND)
         var used = 0.0
         var ideal = 0.0
         val level = minOf(limit.burst, (levels[account] ?: 0.0) + limit.ratePerSecond / STEPS_PER_SECOND)
         for (stream in traffic.filter { it.account == account }) {
             for (host in 0 until primaries) {
+                if (isFrozen(host, step)) continue
                 repeat(requests(stream, host, step)) {
                     val verdict = hosts[host].admit(account, limit, stream.cost, time(step))
                     if (verdict is QuotaVerdict.Admitted) used += stream.cost
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/AccountUseMessage.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/AccountUseMessage.kt
@@ -1,8 +1,8 @@
 /*
- * The part of a heartbeat that tells other hosts how much client accounts used.
+ * The part of a heartbeat that tells other hosts how much client accounts, or limits of replicas, were used.
  *
  * It is packed by hand, since it passes between all primary hosts several times a second: the number of the report, and
- * for each account four bytes of its hash, then units used and demand, as numbers of seven bits a byte.
+ * for each limit four bytes of its hash, then units used and demand, as numbers of seven bits a byte.
  */
 
 package org.buckthornwheel.forwarding.membership
@@ -17,7 +17,7 @@
 import java.nio.BufferUnderflowException
 import java.nio.ByteBuffer
 
-/** A report of the use of accounts, packed into [bytes]. */
+/** A report of the use of shared limits, packed into [bytes]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class AccountUseMessage(@CborLabel(1) @ByteString private val bytes: ByteArray) {
@@ -54,7 +54,7 @@
             val output = ByteArrayOutputStream()
             write(output, report.sequence)
             for (use in report.uses) {
-                output.write(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(use.account.toInt()).array())
+                output.write(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(use.key.toInt()).array())
                 write(output, use.used)
                 write(output, use.demand)
             }
