--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -67,6 +67,7 @@
         val all = replicas.of(request.service).map { it.snapshot(request.parts, now) }
         val permitted = all.filter { isPermitted(it, request, reachable, now) }
         val usable = permitted.filterNot { it.isUnavailable }.ifEmpty { lastResort(permitted) }
+            .filterNot { it.replica.id in request.limited }
         val cacheHolder = all.filter { canBeFetchedFrom(it, request) }.maxByOrNull { it.cachedTokens }
         return Options(usable, cacheHolder, firstPauseEnd(permitted))
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
@@ -21,6 +21,7 @@
  * @property mayForward whether another region may be chosen.
  * @property queueTarget shortest target latency among requests of the service that are at least as urgent; limits the
  *   queues at replicas that it may join.
+ * @property limited replicas that work, but take no more requests at this moment.
  * @property isUrgent whether it may join longer queues and is assumed not to be preempted.
  */
 public data class PlacementRequest(
@@ -37,4 +38,5 @@
     public val mayForward: Boolean,
     public val isUrgent: Boolean,
     public val queueTarget: Duration = targetLatency,
+    public val limited: Set<ReplicaId> = emptySet(),
 )
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
@@ -75,10 +75,15 @@
     private var ejectedUntil: MonotonicInstant? = null
     private var refusedUntil: MonotonicInstant? = null
 
+    /** The requests that the replica takes. */
+    var requestLimit = ReplicaRequestLimit()
+        private set
+
     /** Forgets everything, since another run of the replica has started. */
     fun restart() {
         isLeaving = false
         pausedUntil = null
+        requestLimit = ReplicaRequestLimit()
         failures = 0
         ejectedUntil = null
     }
@@ -95,10 +100,11 @@
         if (!isBefore(until, pausedUntil)) pausedUntil = until
     }
 
-    /** Keeps the longer of this pause and that of [other], which is the same run of the replica. */
+    /** Keeps the longer of this pause and that of [other], and its limit; [other] is the same run of the replica. */
     fun adopt(other: ReplicaAdmission) {
         isLeaving = isLeaving || other.isLeaving
         pausedUntil = listOfNotNull(pausedUntil, other.pausedUntil).maxOrNull()
+        requestLimit.adopt(other.requestLimit)
     }
 
     /** Records a response that shows that the replica works. */
@@ -120,8 +126,8 @@
         }
     }
 
-    /** Whether the replica has announced that it is leaving or has asked for a pause. */
-    val hasAnnouncement: Boolean get() = isLeaving || pausedUntil != null
+    /** Whether the replica has announced that it is leaving, has asked for a pause, or has named a limit. */
+    val hasAnnouncement: Boolean get() = isLeaving || pausedUntil != null || requestLimit.isNamed
 
     /**
      * Why [replica] gets no new request at [now]; null if it may. This host has [ownRequests] in progress there;
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -2,6 +2,7 @@
 
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.quarantine.ReplicaRun
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -82,6 +83,35 @@
         if (startedAt == replica.startedAt) admission.recordPause(pause, now)
     }
 
+    /**
+     * Records that a response of the run that started at [startedAt], to a request sent at [sentAt], named the limit
+     * [requestsPerSecond], or none if that is null. Returns the change of the limit in force, if any.
+     */
+    public fun recordLimit(
+        startedAt: Long,
+        requestsPerSecond: Double?,
+        sentAt: MonotonicInstant,
+        now: MonotonicInstant,
+    ): LimitChange? = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.requestLimit.record(requestsPerSecond, sentAt, now) else null
+    }
+
+    /** Records the limit that the replica [named] to another host; returns the change of the limit in force, if any. */
+    public fun recordToldLimit(named: NamedLimit, now: MonotonicInstant): LimitChange? = synchronized(lock) {
+        if (named.run.startedAt != replica.startedAt) return@synchronized null
+        admission.requestLimit.recordTold(named.requestsPerSecond, now + -named.age, now)
+    }
+
+    /** The requests a second that the run that started at [startedAt] takes at [now]; null without a limit. */
+    public fun requestLimit(startedAt: Long, now: MonotonicInstant): Double? = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.requestLimit.current(now) else null
+    }
+
+    /** The limit that the replica named to this host; null for none. */
+    public fun limitToReport(now: MonotonicInstant): NamedLimit? = synchronized(lock) {
+        admission.requestLimit.toReport(ReplicaRun(replica.id, replica.startedAt), now)
+    }
+
     /** Keeps what the replica said of itself in responses while it had the state [earlier], if it is the same run. */
     internal fun adopt(earlier: ReplicaState): Unit = synchronized(lock) {
         synchronized(earlier.lock) {
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmissionTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmissionTest.kt
@@ -18,6 +18,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
@@ -125,6 +126,17 @@
         expectThat(results.sumOf { it.second }).isGreaterThan(SEEDS * STEPS / 4)
     }
 
+    @Test
+    fun `a limit is kept when the same run is registered again, and forgotten at another start`() {
+        put(0)
+        state()?.recordLimit(0, 3.5, now, now)
+        replicas.remove(ReplicaId("r"))
+        put(0)
+        expectThat(state()?.requestLimit(0, now)).isEqualTo(3.5)
+        put(1)
+        expectThat(state()?.requestLimit(1, now)).isNull()
+    }
+
     @Test
     fun `the placement says when the first pause ends`() {
         listOf("r", "s").forEach { put(0, id = it) }
