--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -64,6 +64,7 @@
  * @property requestsAtReplica requests of all hosts that the replica runs or queues; null if it is not reported.
  * @property sharesMachine whether the replica reports how much other work on its machine slows it down.
  * @property isLeaving whether the replica announces that it is shutting down.
+ * @property requestLimit requests a second that the replica takes from all hosts together; null if it names no limit.
  */
 public data class ResponseMetadata(
     public val requestId: RequestId?,
@@ -74,6 +75,7 @@
     public val requestsAtReplica: Int? = null,
     public val sharesMachine: Boolean = false,
     public val isLeaving: Boolean = false,
+    public val requestLimit: Double? = null,
 )
 
 /** Reads and writes the headers of a deployment. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -32,6 +32,7 @@
     val retries: Retries get() = budgets.retries
     val quotas: AccountQuotas get() = budgets.quotas
     val hedges: HedgePolicy get() = budgets.hedges
+    val limits: ReplicaLimits get() = budgets.limits
     val routingState: RoutingState get() = clusterState.routingState
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
@@ -58,8 +59,13 @@
 /** The choice of places, and the queues of requests that wait for one. */
 internal class Places(val placement: Placement, val queues: PlaceQueues)
 
-/** What this host may give out: retries, hedged attempts, and units of its accounts' limits. */
-internal class Budgets(val retries: Retries, val hedges: HedgePolicy, val quotas: AccountQuotas)
+/** What this host may give out: retries, hedged attempts, units of its accounts' limits, and requests to replicas. */
+internal class Budgets(
+    val retries: Retries,
+    val hedges: HedgePolicy,
+    val quotas: AccountQuotas,
+    val limits: ReplicaLimits,
+)
 
 /** The retries that this host may send, as its part of the [budget] that all hosts share. */
 internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -4,7 +4,6 @@
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
 import org.buckthornwheel.decision.replica.ReplicaId
-import org.buckthornwheel.decision.replica.ReplicaState
 import org.buckthornwheel.forwarding.connection.TargetPool
 import kotlin.time.Duration
 
@@ -36,16 +35,18 @@
     private val wait: PlaceWait,
 ) {
     private val policy = request.policy
+    private val limited = LimitedPlacement(context)
     private val lastEventId: String? get() = proxiedRequest.response.lastEventId
 
     fun next(now: MonotonicInstant): PlacementResult {
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
-        return when (val decision = context.placement.choose(placementRequest(now), reachable, now)) {
-            is PlacementDecision.Local -> toReplica(decision, now)
+        val choice = limited.choose(placementRequest(now), reachable, now)
+        if (choice.place != null) return toReplica(choice.place, now)
+        return when (val decision = choice.decision) {
             is PlacementDecision.Forward -> toRegion(decision, now)
-            is PlacementDecision.Full -> PlacementResult.NoPlace(decision.wait)
-            is PlacementDecision.Paused -> PlacementResult.Paused(decision.wait)
-            PlacementDecision.NoReplica -> PlacementResult.NoPlace(wait = null)
+            is PlacementDecision.Full -> PlacementResult.NoPlace(choice.earliest(decision.wait))
+            is PlacementDecision.Paused -> PlacementResult.Paused(choice.earliest(decision.wait))
+            is PlacementDecision.Local, PlacementDecision.NoReplica -> PlacementResult.NoPlace(choice.limitWait)
         }
     }
 
@@ -55,14 +56,14 @@
      */
     fun hedge(running: ReplicaId, now: MonotonicInstant): PlacementResult.Attempting? {
         val placed = placementRequest(now).let { it.copy(excluded = it.excluded + running, mayForward = false) }
-        val decision = context.placement.choose(placed, emptySet(), now) as? PlacementDecision.Local
-        val state = decision?.let { context.replicas.find(it.replica.id) }
-        val isFree = decision != null && decision.load.requests < decision.replica.slots &&
-            wait.mayTake(decision.replica.region, decision.replica.id, now)
-        val verdict = context.hedges.tryHedge(policy.service, isFree && state != null, now)
-        if (!Hedging.isPermitted(context, verdict) || decision == null || state == null) return null
-        if (!context.retries.tryWithdraw(policy.service, now)) return null
-        return attempting(decision, state, now)
+        val place = limited.choose(placed, emptySet(), now).place
+        val isFree = place != null && place.decision.load.requests < place.decision.replica.slots &&
+            wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
+        val verdict = context.hedges.tryHedge(policy.service, isFree, now)
+        val isPermitted = Hedging.isPermitted(context, verdict) && context.retries.tryWithdraw(policy.service, now)
+        if (isPermitted && place != null) return attempting(place, now)
+        place?.claim?.giveBack()
+        return null
     }
 
     private fun placementRequest(now: MonotonicInstant): PlacementRequest = PlacementRequest(
@@ -82,21 +83,22 @@
             ?: policy.targetLatency,
     )
 
-    private fun toReplica(decision: PlacementDecision.Local, now: MonotonicInstant): PlacementResult {
-        val state = context.replicas.find(decision.replica.id) ?: return next(now)
-        if (!wait.mayTake(decision.replica.region, decision.replica.id, now)) return PlacementResult.Reserved
+    private fun toReplica(place: ReplicaPlace, now: MonotonicInstant): PlacementResult {
+        val replica = place.decision.replica
+        if (!wait.mayTake(replica.region, replica.id, now)) {
+            place.claim.giveBack()
+            return PlacementResult.Reserved
+        }
         if (history.count > 0 && !context.retries.tryWithdraw(policy.service, now)) {
+            place.claim.giveBack()
             return PlacementResult.RetryBudgetExhausted
         }
-        return attempting(decision, state, now)
+        return attempting(place, now)
     }
 
-    private fun attempting(
-        decision: PlacementDecision.Local,
-        state: ReplicaState,
-        now: MonotonicInstant,
-    ): PlacementResult.Attempting {
-        val attempt = ReplicaAttempt(context, proxiedRequest, state, decision, now)
+    private fun attempting(place: ReplicaPlace, now: MonotonicInstant): PlacementResult.Attempting {
+        val decision = place.decision
+        val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, now)
         return PlacementResult.Attempting(attempt) {
             val headers = RequestHeaders.forReplica(context, request, decision, policy.deadline - now, lastEventId)
             attempt.start(pool, headers, request, lastEventId)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -35,6 +35,7 @@
     private val proxiedRequest: ProxiedRequest,
     private val state: ReplicaState,
     private val decision: PlacementDecision.Local,
+    private var claim: ReplicaClaim,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -45,11 +46,12 @@
         prefillTokens = decision.missingTokens.toLong(),
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
-    private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id)
+    private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id, startedAt)
     private var connection: TargetConnection? = null
     private var isFramed = false
     private var relay: ResponseRelay? = null
     private var responseMetadata: ResponseMetadata? = null
+    private var isSent = false
     private var isEnded = false
 
     /** Whether data that the caller can use has arrived. */
@@ -155,21 +157,31 @@
         broken(failure.reason, result)
     }
 
-    /** Sends the request elsewhere if the replica said that it wants none while the connection was opened. */
+    /** Sends the request elsewhere if the replica said that it wants none or fewer while the connection was opened. */
     private fun sendOrWithdraw(
         pool: TargetPool,
         opened: TargetConnection,
         headers: HttpHeaders,
         request: ReceivedRequest,
     ) {
-        val restriction = state.restriction(context.clock.now())?.takeIf { it.isAnnouncement }
-        if (isEnded || restriction == null) return send(opened, headers, request)
+        val reason = if (isEnded) null else withdrawalReason()
+        if (reason == null) return send(opened, headers, request)
         pool.release(opened)
         end(ReplicaAttemptResult.ABANDONED)
-        log("not sent") { put("reason", restriction.source) }
+        log("not sent") { put("reason", reason) }
         proxiedRequest.onNotSent(this, decision.replica.id, null)
     }
 
+    private fun withdrawalReason(): String? {
+        val now = context.clock.now()
+        state.restriction(now)?.takeIf { it.isAnnouncement }?.let { return it.source }
+        if (claim.isLimited) return null
+        return when (val verdict = context.limits.take(state, run, isRepeated = false, now)) {
+            is LimitVerdict.Refused -> "limited"
+            is LimitVerdict.Granted -> null.also { claim = verdict.claim }
+        }
+    }
+
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
             context.log.write(LogPart.REQUEST, "connection unused") { put("request", proxiedRequest.metadata.id.value) }
@@ -177,6 +189,7 @@
             return
         }
         connection = newConnection
+        isSent = true
         proxiedRequest.onSent()
         proxiedRequest.quarantine.recordSent(context.clock.now())
         context.meters.sent(proxiedRequest.isRetry)
@@ -263,6 +276,7 @@
 
     private fun end(result: ReplicaAttemptResult) {
         isEnded = true
+        if (!isSent) claim.giveBack()
         val now = context.clock.now()
         state.recordEnd(work, result, now - startedAt, decision.load.requests, now)
         val isAnswered = result == ReplicaAttemptResult.ANSWERED
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -11,6 +11,8 @@
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.account.share.SharedAccountQuotas
+import org.buckthornwheel.decision.account.share.SharedReplicaLimits
+import org.buckthornwheel.decision.account.share.SharingScope
 import org.buckthornwheel.decision.attempt.HedgePolicy
 import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.EntryQuotaSharers
@@ -35,6 +37,7 @@
 import org.buckthornwheel.forwarding.exchange.Observability
 import org.buckthornwheel.forwarding.exchange.PlaceQueues
 import org.buckthornwheel.forwarding.exchange.Places
+import org.buckthornwheel.forwarding.exchange.ReplicaLimits
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
@@ -52,6 +55,7 @@
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
 import org.buckthornwheel.forwarding.membership.QuarantineSharing
+import org.buckthornwheel.forwarding.membership.ReplicaLimitSharing
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
@@ -125,6 +129,17 @@
         EntryQuotaSharers(settings.self, hosts, settings.settlingTime, routingState::knownSince),
         startedAt = clock.now(),
     ) { ThreadLocalRandom.current().nextDouble() }
+    private val sharedReplicaLimits = SharedReplicaLimits(
+        EntryQuotaSharers(
+            settings.self,
+            hosts,
+            settings.settlingTime,
+            routingState::knownSince,
+            SharingScope.OWN_REGION,
+        ),
+        startedAt = clock.now(),
+    ) { ThreadLocalRandom.current().nextDouble() }
+    private val replicaLimits = ReplicaLimits(sharedReplicaLimits, observability)
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
@@ -143,6 +158,7 @@
             ),
             HedgePolicy(settings.hedging),
             quotas,
+            replicaLimits,
         ),
         observability = observability,
         shutdown = shutdown,
@@ -159,7 +175,14 @@
         replicas,
         reads,
         settings.seedAddresses,
-        LocalHostState({ isReady }, { estate }, quarantineSharing, currency::refusesAccounts, AccountSharing(quotas)),
+        LocalHostState(
+            { isReady },
+            { estate },
+            quarantineSharing,
+            currency::refusesAccounts,
+            AccountSharing(quotas),
+            ReplicaLimitSharing(sharedReplicaLimits, replicaLimits, replicas),
+        ),
         log,
         clock,
     )
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -93,6 +93,7 @@
  * @property refusesAccounts whether the sender rejects requests of client accounts.
  * @property leaving replicas that announced to the sender that they are leaving; null for none.
  * @property accounts how much client accounts used at the sender; null for nothing.
+ * @property limits the limits that replicas of the sender's region named, and their use; null for nothing.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -106,6 +107,7 @@
     @CborLabel(7) val refusesAccounts: Boolean = false,
     @CborLabel(8) val accounts: AccountUseMessage? = null,
     @CborLabel(9) val leaving: List<LeavingReplica>? = null,
+    @CborLabel(10) val limits: ReplicaLimitMessage? = null,
 ) {
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = CODEC.encodeToByteArray(this)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -32,7 +32,7 @@
 
 /**
  * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision, the
- * quarantine, and the use of accounts.
+ * quarantine, the use of accounts, and the limits of replicas.
  */
 internal class LocalHostState(
     val isReady: () -> Boolean,
@@ -40,6 +40,7 @@
     val quarantine: QuarantineSharing,
     val refusesAccounts: () -> Boolean,
     val accounts: AccountSharing,
+    val limits: ReplicaLimitSharing,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -85,6 +86,12 @@
         val intervals = hosts.heartbeatIntervals(busy = work.isNotEmpty(), now)
         val isUrgent = local.quarantine.takeUrgency()
         local.accounts.endRound(intervals.values, now)
+        local.limits.endRound(
+            intervals.count { (host, interval) ->
+                host.region == self.region && interval <= ROUND
+            },
+            now,
+        )
         for ((host, interval) in intervals) {
             if (isUrgent ||
                 isDue(host, interval)
@@ -117,7 +124,8 @@
     }
 
     private fun send(host: EntryHostProfile, interval: Duration, activity: Activity?) {
-        write(host.peerAddress, heartbeat(interval, activity))
+        val limits = local.limits.message(interval).takeIf { host.region == self.region }
+        write(host.peerAddress, heartbeat(interval, activity).copy(limits = limits))
     }
 
     private fun heartbeat(interval: Duration, activity: Activity?): Heartbeat = Heartbeat(
@@ -169,6 +177,7 @@
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
         local.accounts.receive(heartbeat.sender.host, heartbeat.accounts, now)
+        local.limits.receive(heartbeat.sender.host, heartbeat.limits, now)
         heartbeat.quarantine?.let { local.quarantine.receive(it, heartbeat.sender.name.value, now) }
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/observability/ForwardingMeters.kt
@@ -40,6 +40,9 @@
     /** Counts a pause that a replica asked for. */
     internal fun paused(): Unit = meters.pauses.increment()
 
+    /** Counts a placement that a replica's limit turned away. */
+    internal fun turnedAwayByLimit(): Unit = meters.limited.increment()
+
     /** Counts a response of a replica that broke off or was unusable. */
     internal fun broken(): Unit = meters.broken.increment()
 
@@ -86,6 +89,7 @@
     val sends = counter("buckthornwheel.target.sends")
     val refusals = counter("buckthornwheel.target.refusals")
     val pauses = counter("buckthornwheel.target.pauses")
+    val limited = counter("buckthornwheel.target.limited")
     val broken = counter("buckthornwheel.target.broken")
     val quarantined = counter("buckthornwheel.quarantine.rejections")
     val repeats = counter("buckthornwheel.target.repeats")
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -9,16 +9,21 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.account.share.QuotaReport
+import org.buckthornwheel.decision.account.share.ReportedUse
 import org.buckthornwheel.decision.manifest.RouteKind
 import org.buckthornwheel.forwarding.exchange.PeerEnvelope
 import org.buckthornwheel.forwarding.exchange.PeerOutcome
+import org.buckthornwheel.forwarding.membership.AccountUseMessage
 import org.buckthornwheel.forwarding.membership.Activity
 import org.buckthornwheel.forwarding.membership.CompletionMessage
 import org.buckthornwheel.forwarding.membership.CrashMessage
 import org.buckthornwheel.forwarding.membership.Heartbeat
+import org.buckthornwheel.forwarding.membership.LimitedReplica
 import org.buckthornwheel.forwarding.membership.QuarantineMessage
 import org.buckthornwheel.forwarding.membership.QuarantinedPartMessage
 import org.buckthornwheel.forwarding.membership.ReadPart
+import org.buckthornwheel.forwarding.membership.ReplicaLimitMessage
 import org.buckthornwheel.forwarding.membership.ReplicaRead
 import org.buckthornwheel.forwarding.membership.ReplicaWork
 import org.buckthornwheel.forwarding.membership.SenderDescription
@@ -59,6 +64,10 @@
         listOf(CompletionMessage("part-2", 1_200)),
         listOf(QuarantinedPartMessage("part-1", age = 900, probes = 1, probeIn = 14_100, idle = 30)),
     )
+    private val limits = ReplicaLimitMessage(
+        AccountUseMessage.of(QuotaReport(7, listOf(ReportedUse(3_000_000_000, used = 12_000, demand = 4_100)))),
+        listOf(LimitedReplica("replica-1", 1_796_378_654_445, requestsPerSecond = 3.5, age = 250)),
+    )
     private val envelope = PeerEnvelope(
         routeName = "route-1",
         version = 7,
@@ -76,6 +85,7 @@
         listOf(heartbeat("heartbeat-brief", brief), heartbeat("heartbeat-full", full)) +
             heartbeat("heartbeat-quarantine", brief.copy(quarantine = quarantine)) +
             heartbeat("heartbeat-accounts", brief.copy(refusesAccounts = true)) +
+            heartbeat("heartbeat-limits", brief.copy(limits = limits)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatTest.kt
@@ -85,6 +85,22 @@
         expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
     }
 
+    /** Guards against hosts of the previous build taking those of this one for dead. */
+    @OptIn(ExperimentalSerializationApi::class)
+    @Test
+    fun `a host of the build without limits of replicas reads a heartbeat that has some`() {
+        val named = listOf(LimitedReplica("i-1", startedAt = 7, requestsPerSecond = 3.5, age = 250))
+        val uses = AccountUseMessage.of(QuotaReport(7, listOf(ReportedUse(3_000_000_000, 12_000, 4_100))))
+        val heartbeat = brief.copy(limits = ReplicaLimitMessage(uses, named))
+        expectThat(Heartbeat.decode(heartbeat.encode())).isEqualTo(heartbeat)
+        val codec = Cbor {
+            ignoreUnknownKeys = true
+            preferCborLabelsOverNames = true
+        }
+        val read = codec.decodeFromByteArray<PreviousHeartbeat>(heartbeat.encode())
+        expectThat(read).isEqualTo(PreviousHeartbeat(sender, isReady = true, 1_000, revision = 123_456))
+    }
+
     /** A heartbeat as the build before quarantine and accounts defines it. */
     @OptIn(ExperimentalSerializationApi::class)
     @Serializable
