--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
@@ -75,10 +75,15 @@
     private var ejectedUntil: MonotonicInstant? = null
     private var refusedUntil: MonotonicInstant? = null
 
+    /** The requests that the replica takes. */
+    var requestLimit = ReplicaRequestLimit()
+        private set
+
     /** Forgets everything, since another run of the replica has started. */
     fun restart() {
         isLeaving = false
         pausedUntil = null
+        requestLimit = ReplicaRequestLimit()
         failures = 0
         ejectedUntil = null
     }
