--- /dev/null
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -0,0 +1,56 @@
+/*
+ * Replicas that start again under their identifier.
+ */
+
+package org.buckthornwheel.decision.replica
+
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.ServiceName
+import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.quarantine.ReplicaRun
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isNull
+import kotlin.time.Duration.Companion.seconds
+
+internal class RestartedReplicaTest {
+    private val id = ReplicaId("r1")
+    private val registry = ReplicaRegistry()
+    private val start = MonotonicClock.SYSTEM.now()
+
+    private fun replica(startedAt: Long) = Replica(
+        id,
+        ServiceName("s"),
+        NetworkAddress("127.0.0.1", 1),
+        ZoneName("north-a"),
+        RegionName("north"),
+        slots = 4,
+        isDraining = false,
+        startedAt = startedAt,
+    )
+
+    private fun register(startedAt: Long) = registry.put(replica(startedAt), 0, coldUntil = null)
+
+    /** Fifteen seconds ahead when the earlier run announced that it is leaving; the new run starts ten seconds later. */
+    @Test
+    fun `a clock step of the host does not make the next run of a leaving replica count as leaving`() {
+        val announcedAt = 1_000_000L
+        register(startedAt = announcedAt - 600_000)
+        registry.recordLeaving(ReplicaRun(id, announcedAt - 600_000), start, announcedAt + 15_000)
+        registry.remove(id)
+        register(startedAt = announcedAt + 10_000)
+        expectThat(registry.find(id)?.restriction(start + 10.seconds)).isNull()
+    }
+
+    /** The earlier run's machine is lost, so that its connections are not reset. */
+    @Test
+    fun `a new run is not silent because of requests that an earlier run never answered`() {
+        register(startedAt = 1)
+        checkNotNull(registry.find(id)).recordStart(ReplicaLoad(1, 0, 0), emptyList(), 0.seconds, start)
+        registry.remove(id)
+        register(startedAt = 2)
+        expectThat(registry.find(id)?.restriction(start + 5.seconds)).isNull()
+    }
+}
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PausedReplicaTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PausedReplicaTest.kt
@@ -119,6 +119,18 @@
         expectThat(replica.requests.size).isEqualTo(received)
     }
 
+    /** The store delivers the entry of the new run only after its first responses, as when the host is behind. */
+    @Test
+    fun `a pause that a new run asked for before the host knew its registration holds`() {
+        val replica = pausing("r1", "3")
+        send()
+        fixture.host.add("r1", replica, startedAt = System.currentTimeMillis() - 1_000)
+        Thread.sleep(SLACK.inWholeMilliseconds)
+        val received = replica.requests.size
+        repeat(3) { send() }
+        expectThat(replica.requests.size).isEqualTo(received)
+    }
+
     @Test
     fun `values that are no pause cause none`() {
         pausing("r1", "0", "-5", "NaN", "Wed, 21 Oct 2015 07:28:00 GMT")
