--- a/decision/src/test/kotlin/org/buckthornwheel/decision/account/share/QuotaPlay.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/account/share/QuotaPlay.kt
@@ -32,14 +32,12 @@
     val isFrozen: (second: Double, host: Int) -> Boolean = { _, _ -> false },
 )
 
-/** One host of a play. */
-internal interface PlayedHost {
-    fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant): QuotaVerdict
-
-    fun endRound(mostUses: Double, now: MonotonicInstant): QuotaReport?
-
-    fun receive(name: HostName, incarnation: Incarnation, report: QuotaReport?, now: MonotonicInstant)
-}
+/** One host of a play, by what it is asked and told. */
+internal class PlayedHost(
+    val admit: (AccountName, AccountLimit, cost: Double, MonotonicInstant) -> QuotaVerdict,
+    val endRound: (mostUses: Double, MonotonicInstant) -> QuotaReport?,
+    val receive: (HostName, Incarnation, QuotaReport?, MonotonicInstant) -> Unit,
+)
 
 /** What is played: the hosts that share, and what each of them keeps. */
 internal class PlayedSharing(
@@ -49,37 +47,16 @@
     companion object {
         val ACCOUNTS = PlayedSharing(SharingScope.ALL_REGIONS) { sharers, at, draw ->
             val quotas = SharedAccountQuotas(sharers, at, draw)
-            object : PlayedHost {
-                override fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant) =
-                    quotas.admit(account, limit, cost, now)
-
-                override fun endRound(mostUses: Double, now: MonotonicInstant) = quotas.endRound(mostUses, now)
-
-                override fun receive(
-                    name: HostName,
-                    incarnation: Incarnation,
-                    report: QuotaReport?,
-                    now: MonotonicInstant,
-                ) = quotas.receive(name, incarnation, report, now)
-            }
+            PlayedHost(quotas::admit, quotas::endRound, quotas::receive)
         }
 
         /** Replicas that have the names of the accounts, at hosts of one region. */
         val REPLICAS = PlayedSharing(SharingScope.OWN_REGION) { sharers, at, draw ->
             val limits = SharedReplicaLimits(sharers, at, draw)
-            object : PlayedHost {
-                override fun admit(account: AccountName, limit: AccountLimit, cost: Double, now: MonotonicInstant) =
-                    limits.take(ReplicaRun(ReplicaId(account.value), 0), limit.ratePerSecond, isRepeated = false, now)
-
-                override fun endRound(mostUses: Double, now: MonotonicInstant) = limits.endRound(mostUses, now)
-
-                override fun receive(
-                    name: HostName,
-                    incarnation: Incarnation,
-                    report: QuotaReport?,
-                    now: MonotonicInstant,
-                ) = limits.receive(name, incarnation, report, now)
+            val take = { replica: AccountName, limit: AccountLimit, _: Double, now: MonotonicInstant ->
+                limits.take(ReplicaRun(ReplicaId(replica.value), 0), limit.ratePerSecond, isRepeated = false, now)
             }
+            PlayedHost(take, limits::endRound, limits::receive)
         }
     }
 }
