A new run of a replica does not continue with the state of a run that was removed

What callers would see: a replica that was started again counted as silent, and got no requests beside others, until requests that its former run never answered had ended. Change: the kept state is used only by the same run.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RemovedReplicas.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RemovedReplicas.kt
@@ -3,8 +3,8 @@
 /**
  * Keeps the states of replicas whose registrations ended, the newest ones.
  *
- * A replica that is registered again continues with its state: what requests in progress learn of it while it is not
- * registered would otherwise be lost. Thread-safe.
+ * A run of a replica that is registered again continues with its state: what requests in progress learn of it while it
+ * is not registered would otherwise be lost. Thread-safe.
  */
 internal class RemovedReplicas {
     private val states = LinkedHashMap<ReplicaId, ReplicaState>()
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -35,7 +35,8 @@
 
     /** Adds or updates [replica] and marks it as cold until [coldUntil], if given. */
     public fun put(replica: Replica, tokenCapacity: Long, coldUntil: MonotonicInstant?) {
-        val state = states[replica.id] ?: removed.take(replica.id) ?: ReplicaState(replica, tokenCapacity)
+        val earlier = removed.take(replica.id)?.takeIf { it.current.startedAt == replica.startedAt }
+        val state = states[replica.id] ?: earlier ?: ReplicaState(replica, tokenCapacity)
         state.register(replica, tokenCapacity)
         states[replica.id] = state
         applyLeaving(state)
