What a new run said before its registration: presumed for seconds, and pauses too

One cause: what is inferred from a time of day was taken for certain, or not at all. Change: a run is presumed to be leaving for 8 s after the announcement; the registration of one that really leaves says so by then. A pause is kept if the new run had started in the minute before it; a clock that is wrong costs at most the rest of the pause.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/LeavingReplicas.kt
@@ -32,17 +32,21 @@
     operator fun contains(run: ReplicaRun): Boolean = synchronized(lock) { run in announcements }
 
     /**
-     * Whether an announcement that was taken for that of an earlier run must have been that of [run], which had started
-     * before it. The registration of a new run can arrive after its first responses.
+     * Until when [run] is presumed to be leaving: it had started before an announcement that was taken for that of an
+     * earlier run, since the registration of a new run can arrive after its first responses. Null if it is not.
      */
-    fun includesUnregistered(run: ReplicaRun): Boolean = synchronized(lock) {
-        announcements.any { (known, announcement) ->
-            val isEarlierRun = known.replica == run.replica && known.startedAt < run.startedAt
-            val until = announcement.unixMilliseconds
-            isEarlierRun && known.startedAt != Replica.UNKNOWN_START && until != null && run.startedAt <= until
-        }
+    fun presumedUntil(run: ReplicaRun): MonotonicInstant? = synchronized(lock) {
+        announcements.filter { (known, it) -> isEarlier(known, run) && hadStarted(run, it) }
+            .mapNotNull { (_, it) -> it.at }
+            .maxOrNull()?.let { it + PRESUMED_FOR }
     }
 
+    private fun isEarlier(known: ReplicaRun, run: ReplicaRun): Boolean =
+        known.replica == run.replica && known.startedAt != Replica.UNKNOWN_START && known.startedAt < run.startedAt
+
+    private fun hadStarted(run: ReplicaRun, announcement: Announcement): Boolean =
+        announcement.unixMilliseconds != null && run.startedAt <= announcement.unixMilliseconds
+
     /** The runs to report to other hosts at [now]: the newest that announced themselves to this host. */
     fun toReport(now: MonotonicInstant): List<ReplicaRun> = synchronized(lock) {
         announcements.entries.filter { (_, it) -> it.at != null && now - it.at <= REPORTED_FOR }
@@ -56,6 +60,9 @@
         /** Keeps a report at about half a kilobyte. */
         const val MAXIMUM_REPORTED = 16
 
+        /** The registration of a run that is leaving says so within seconds; a clock that is wrong costs no more. */
+        val PRESUMED_FOR = 8.seconds
+
         /** Several of the longest heartbeat intervals. */
         val REPORTED_FOR = 10.seconds
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
@@ -4,6 +4,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -70,7 +71,9 @@
  */
 internal class ReplicaAdmission {
     private var isLeaving = false
+    private var presumedLeavingUntil: MonotonicInstant? = null
     private var pausedUntil: MonotonicInstant? = null
+    private var pausedAtUnixMilliseconds: Long? = null
     private var failures = 0
     private var ejectedUntil: MonotonicInstant? = null
     private var refusedUntil: MonotonicInstant? = null
@@ -79,10 +82,16 @@
     var requestLimit = ReplicaRequestLimit()
         private set
 
-    /** Forgets everything, since another run of the replica has started. */
-    fun restart() {
+    /**
+     * Forgets everything, since another run of the replica has started at [startedAt] in Unix milliseconds. A pause that
+     * was asked for soon after that is kept: the registration of a new run can arrive after its first responses.
+     */
+    fun restart(startedAt: Long) {
+        val isPauseOfNewRun =
+            pausedAtUnixMilliseconds?.let { it - startedAt in 0..LATEST_REGISTRATION.inWholeMilliseconds } ?: false
         isLeaving = false
-        pausedUntil = null
+        presumedLeavingUntil = null
+        if (!isPauseOfNewRun) pausedUntil = null
         requestLimit = ReplicaRequestLimit()
         failures = 0
         ejectedUntil = null
@@ -93,11 +102,18 @@
         isLeaving = true
     }
 
+    /** Records that the replica is presumed to be leaving until [until]. */
+    fun presumeLeaving(until: MonotonicInstant) {
+        presumedLeavingUntil = until
+    }
+
     /** Records that the replica wants no requests for [pause]. A later and shorter pause does not end a longer one. */
-    fun recordPause(pause: Duration, now: MonotonicInstant) {
+    fun recordPause(pause: Duration, now: MonotonicInstant, unixMilliseconds: Long?) {
         if (pause <= Duration.ZERO) return
         val until = now + minOf(pause, MAXIMUM_PAUSE)
-        if (!isBefore(until, pausedUntil)) pausedUntil = until
+        if (isBefore(until, pausedUntil)) return
+        pausedUntil = until
+        pausedAtUnixMilliseconds = unixMilliseconds
     }
 
     /** Records a response that shows that the replica works. */
@@ -132,7 +148,7 @@
         val pauseEnd = pausedUntil
         return when {
             replica.isDraining -> ReplicaRestriction.RegisteredAsLeaving
-            isLeaving -> ReplicaRestriction.AnnouncedLeaving
+            isLeaving || isBefore(now, presumedLeavingUntil) -> ReplicaRestriction.AnnouncedLeaving
             pauseEnd != null && now < pauseEnd -> ReplicaRestriction.Paused(pauseEnd)
             ownRequests >= returningRequests(replica, now) -> ReplicaRestriction.ReturningFromPause
             isBefore(now, ejectedUntil) -> ReplicaRestriction.Ejected
@@ -165,6 +181,9 @@
         /** A replica that asks for more is probably misconfigured; it would otherwise be lost until it restarts. */
         val MAXIMUM_PAUSE = 1.hours
 
+        /** Longest time from the start of a run to its registration here, by a host without access to the store. */
+        val LATEST_REGISTRATION = 1.minutes
+
         /** Time after a pause within which requests return gradually, so that those that waited do not refill it. */
         val RETURN_TIME = 1.seconds
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -48,9 +48,9 @@
     private fun applyLeaving(state: ReplicaState) {
         val replica = state.current
         val run = ReplicaRun(replica.id, replica.startedAt)
-        val isRegisteredSo = replica.isDraining && replica.startedAt != Replica.UNKNOWN_START
-        if (isRegisteredSo || leaving.includesUnregistered(run)) leaving.add(run, at = null)
+        if (replica.isDraining && replica.startedAt != Replica.UNKNOWN_START) leaving.add(run, at = null)
         if (run in leaving) state.recordLeaving(run.startedAt)
+        leaving.presumedUntil(run)?.let { state.presumeLeaving(run.startedAt, it) }
     }
 
     /**
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -67,7 +67,7 @@
         }
         if (changed.startedAt != replica.startedAt) {
             cache.clear()
-            admission.restart()
+            admission.restart(changed.startedAt)
             slowness = 1.0
         }
         replica = changed
@@ -78,9 +78,22 @@
         if (startedAt == replica.startedAt) admission.recordLeaving()
     }
 
-    /** Records that the run that started at [startedAt] wants no requests for [pause]. */
-    public fun recordPause(startedAt: Long, pause: Duration, now: MonotonicInstant): Unit = synchronized(lock) {
-        if (startedAt == replica.startedAt) admission.recordPause(pause, now)
+    /** Records that the run that started at [startedAt] is presumed to be leaving until [until]. */
+    internal fun presumeLeaving(startedAt: Long, until: MonotonicInstant): Unit = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.presumeLeaving(until)
+    }
+
+    /**
+     * Records that the run that started at [startedAt] wants no requests for [pause], as of [now], which is
+     * [unixMilliseconds] in Unix milliseconds if that is given.
+     */
+    public fun recordPause(
+        startedAt: Long,
+        pause: Duration,
+        now: MonotonicInstant,
+        unixMilliseconds: Long? = null,
+    ): Unit = synchronized(lock) {
+        if (startedAt == replica.startedAt) admission.recordPause(pause, now, unixMilliseconds)
     }
 
     /**
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAnnouncements.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAnnouncements.kt
@@ -46,7 +46,7 @@
 
     private fun recordPause(pause: Duration) {
         context.meters.paused()
-        state.recordPause(run.startedAt, pause, context.clock.now())
+        state.recordPause(run.startedAt, pause, context.clock.now(), System.currentTimeMillis())
         context.log.write(LogPart.REPLICA, "asked for a pause") {
             put("replica", run.replica.value)
             put("run", run.startedAt)
