--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RegistrationOrder.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RegistrationOrder.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.decision.replica
 
 import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -33,11 +34,12 @@
         else -> replica.sequence < known.sequence
     }
 
-    private companion object {
-        /** Several times the delay of a late write; a replica whose clock was set back is only ignored for this time. */
-        val REMEMBERED_FOR = 30.seconds
+    /** Limits. */
+    public companion object {
+        /** Longer than a write is late; a replica whose clock was set back is not ignored for longer. */
+        public val REMEMBERED_FOR: Duration = 10.seconds
 
         /** As many replicas as a large deployment has. */
-        const val MAXIMUM_REPLICAS = 1_024
+        private const val MAXIMUM_REPLICAS = 1_024
     }
 }
