--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -145,6 +145,7 @@
      * @param homes the regions to which all routes of the caller are restricted; empty without a restriction.
      * @param selfReady whether this host itself serves callers.
      * @param selfRefusesAccounts whether this host itself rejects requests of client accounts.
+     * @param isConfined whether only hosts of the caller's region and of [homes] are named.
      */
     public fun hostsForCaller(
         zone: ZoneName?,
@@ -153,10 +154,12 @@
         selfReady: Boolean,
         now: MonotonicInstant,
         selfRefusesAccounts: Boolean = false,
+        isConfined: Boolean = false,
     ): List<EntryHostProfile> {
         val current = snapshot(now)
         val accepting = if (selfReady && !selfRefusesAccounts) current.accepting + self else current.accepting
         val usable = accepting.ifEmpty { if (selfReady) current.ready + self else current.ready }
+        val permitted = if (isConfined) usable.filter { it.region == region || it.region in homes } else usable
         val preferences = listOf<(EntryHostProfile) -> Boolean>(
             { it.zone == zone },
             { it.region == region },
@@ -164,7 +167,7 @@
             { it.region == self.region },
             { true },
         )
-        val nearest = preferences.firstNotNullOfOrNull { preference -> usable.filter(preference).ifEmpty { null } }
+        val nearest = preferences.firstNotNullOfOrNull { preference -> permitted.filter(preference).ifEmpty { null } }
         return PrimaryHosts.of(nearest.orEmpty())
     }
 
