--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaAdmission.kt
@@ -83,8 +83,8 @@
         private set
 
     /**
-     * Forgets everything, since another run of the replica has started at [startedAt] in Unix milliseconds. A pause that
-     * was asked for soon after that is kept: the registration of a new run can arrive after its first responses.
+     * Forgets everything, since another run of the replica has started at [startedAt] in Unix milliseconds. A pause
+     * that was asked for soon after that is kept: the registration of a new run can arrive after its first responses.
      */
     fun restart(startedAt: Long) {
         val isPauseOfNewRun =
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -33,7 +33,7 @@
 
     private fun register(startedAt: Long) = registry.put(replica(startedAt), 0, coldUntil = null)
 
-    /** Fifteen seconds ahead when the earlier run announced that it is leaving; the new run starts ten seconds later. */
+    /** Fifteen seconds ahead when the earlier run announced leaving; the new run starts ten seconds later. */
     @Test
     fun `a clock step of the host does not make the next run of a leaving replica count as leaving`() {
         val announcedAt = 1_000_000L
