--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -109,7 +109,7 @@
     public fun primaries(region: RegionName, now: MonotonicInstant): List<EntryHostProfile> =
         snapshot(now).forwardingTargets.filter { it.region == region }
 
-    /** Whether this host is a standby host that copies its state from primary hosts of its region, which are heard. */
+    /** Whether this host is a standby host that follows a primary host of its region from which heartbeats arrive. */
     public fun followsPrimaries(now: MonotonicInstant): Boolean {
         val current = snapshot(now)
         if (self in current.primaries) return false
