A host that ends places no more requests

What callers saw: 502 in place of 503 with Retry-After for a request that waited in the queue of a host at the end of its grace period, and a replica that began it in vain. Cause: a host ends its connections one after the other, each on its event loop. The end of one request frees its place, and a request that waits on another loop could take it before its own end. Change: the shutdown is marked as ending before the first connection ends; placement then gives the final response.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HostShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HostShutdown.kt
@@ -13,6 +13,16 @@
     /** Whether the shutdown has begun. */
     val hasBegun: Boolean get() = admission != null
 
+    /** Whether the host itself ends: requests in progress get their final responses, and none is placed any more. */
+    @Volatile
+    var isEnding: Boolean = false
+        private set
+
+    /** Called before the requests in progress are ended. */
+    fun end() {
+        isEnding = true
+    }
+
     /** Begins the shutdown; from now on [rules] decide which requests are admitted. */
     fun begin(rules: ShutdownAdmission) {
         admission = rules
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -75,6 +75,7 @@
 
     override fun place() {
         if (response.isDone) return
+        if (context.shutdown.isEnding) return onHostEnd()
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
         quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/GracefulShutdown.kt
@@ -64,6 +64,8 @@
 
     /** Answers what is still in progress, and waits until the callers have closed, but at most until [end]. */
     private fun endConnections(end: MonotonicInstant) {
+        // A place that one of these requests leaves must not be taken by one that waits on another event loop.
+        shutdown.end()
         connections.forEach { it.onHostEnd() }
         pollUntil(end) { numberOfConnections() == 0 }
     }
