Log lines tell a repeat from a first attempt, and the policy from the manifest in force

`sent` and `forwarded` did not say whether the request had been sent before, nor which manifest was in force at that moment, so that neither a forward that repeats a request (BUDGET) nor a placement by homes of an older version (HOME) could be seen in the logs of a host. Both lines name the number of attempts before, the version of the policy and the version in force now.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -38,6 +38,7 @@
             put("request", proxiedRequest.metadata.id.value)
             put("peer", host.name.value)
             put("region", host.region.value)
+            proxiedRequest.describePlacement(this)
         }
         pool.acquire(
             TargetKey(host.peerAddress, host.incarnation.toString()),
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -9,6 +9,8 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
+import kotlinx.serialization.json.JsonObjectBuilder
+import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.overload.RetryDelay
@@ -137,6 +139,13 @@
     override fun onWaitEnded(reason: String, wait: Duration, retryAfter: Duration?): Unit =
         giveUp(reason, wait, retryAfter)
 
+    /** Adds to a log line what tells a repeat from a first attempt, and the policy from the manifest in force. */
+    fun describePlacement(line: JsonObjectBuilder) {
+        line.put("attempts", history.count)
+        line.put("policy", policy.version.value)
+        context.routingState.manifest?.let { line.put("manifest", it.version.value) }
+    }
+
     /** Called when the request was written to a target. */
     fun onSent(): Unit = history.recordSent()
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -71,6 +71,7 @@
         state.recordStart(work, proxiedRequest.metadata.parts, coldPause(), startedAt)
         context.reads.add(decision.replica.id, proxiedRequest.metadata.parts, startedAt)
         log("sent") {
+            proxiedRequest.describePlacement(this)
             put("predicted", decision.predicted.inWholeMilliseconds)
             put("missing", decision.missingTokens)
             put("load", decision.load.requests)
