--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/SharedBudgetsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/SharedBudgetsTest.kt
@@ -136,6 +136,22 @@
         }
     }
 
+    /** The retries that a host sends which is killed and started again at each of [starts], and uses all it may. */
+    private fun retriesOfRestartedHost(starts: List<Duration>): Int = starts.sumOf { at ->
+        val host = StartingHost(profile(1), start + at, SETTLING_TIME)
+        for (number in 2..HOSTS) host.hosts.addRegistered(profile(number))
+        val budget = WindowedRetryBudget(0.2, ALLOWANCE, WINDOW, ratioShare = 0.95, allowanceShare = 0.7)
+        val end = start + at + TIME_BETWEEN_STARTS
+        generateSequence { budget.tryWithdraw(SERVICE, host.budgets.retrySharers(end), end) }.takeWhile { it }.count()
+    }
+
+    // Each process of a host took the host's part of the allowance, several times within a window.
+    @Test
+    fun `a host that starts several times within a window takes its part of the retry allowance once`() {
+        val starts = List((WINDOW / TIME_BETWEEN_STARTS).toInt()) { TIME_BETWEEN_STARTS * it }
+        expectThat(retriesOfRestartedHost(starts).toDouble()).isLessThanOrEqualTo(ALLOWANCE / HOSTS)
+    }
+
     @Nested
     inner class `given a region that is partitioned for longer than hosts count as heard` {
         private val all = (1..HOSTS).map { StartingHost(profile(it), start, Duration.ZERO) }
@@ -179,6 +195,8 @@
         const val ALLOWANCE = 180.0
         const val REQUESTS = 20
         const val HOSTS = 24
+        val WINDOW = 10.seconds
+        val TIME_BETWEEN_STARTS = 4.seconds
         const val SEEDS = 100
         val LONGEST_LEARNING_MILLISECONDS = SharedBudgets.LEARNING_TIME.inWholeMilliseconds.toInt()
         const val SIMULATED_MILLISECONDS = 6_000
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
@@ -0,0 +1,135 @@
+/*
+ * The limit on requests that are sent once more, which all hosts share.
+ */
+
+package org.buckthornwheel.forwarding.transport
+
+import org.buckthornwheel.api.HostName
+import org.buckthornwheel.api.Incarnation
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.ZoneName
+import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.rejection
+import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.seconds
+
+internal class RetryBudgetTest {
+    private val north = RunningHost("north-1", "north", retryAllowance = ALLOWANCE)
+    private val replicas = ArrayList<ScriptedReplica>()
+
+    /** Arrivals beyond the first one of each request. */
+    private val repeats: Int
+        get() = replicas.flatMap { it.requests }.groupingBy { it.header("Id") }.eachCount().values.sumOf { it - 1 }
+
+    private fun permittedRepeats(requests: Int = REQUESTS): Double = RATIO * requests + ALLOWANCE
+
+    @AfterEach
+    fun close() {
+        replicas.forEach { it.close() }
+        north.close()
+    }
+
+    /** Sends requests, each on a connection of its own, and returns the statuses of the responses. */
+    private fun sendRequests(count: Int = REQUESTS): List<Int?> = (1..count).map { number ->
+        north.caller().use { caller ->
+            caller.request("GET", "/read/x", "q$number")
+            caller.readResponse()?.status
+        }
+    }
+
+    @Nested
+    inner class `given other hosts that are lost with each request` {
+        /** A host of another region that closes the connection once it has passed a request on. */
+        private fun addLostHost(number: Int) {
+            val lost = ScriptedReplica { close() }.also { replicas += it }
+            north.add("e$number", lost, region = "east")
+            val host = EntryHostProfile(
+                HostName("east-$number"),
+                Incarnation(1),
+                ZoneName("east-a"),
+                RegionName("east"),
+                callerAddress = lost.address,
+                peerAddress = lost.address,
+                cores = 1.0,
+            )
+            north.process.hosts.recordHeartbeat(host, isReady = true, 10.seconds, MonotonicClock.SYSTEM.now())
+        }
+
+        // A request whose forward broke was forwarded again without a withdrawal.
+        @Test
+        fun `requests are forwarded again within the limit`() {
+            repeat(2) { addLostHost(it) }
+            sendRequests()
+            expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats())
+            expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
+        }
+    }
+
+    @Nested
+    inner class `given replicas that respond as other ones than the intended` {
+        // Attempts that did not count towards the maximum of the route did not count for the limit either.
+        @Test
+        fun `requests are sent to further replicas within the limit`() {
+            repeat(40) { number ->
+                replicas += ScriptedReplica { request -> send(rejection(request, status = 421)) }
+                north.add("r$number", replicas.last())
+            }
+            sendRequests(count = 10)
+            expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats(requests = 10))
+        }
+    }
+
+    @Nested
+    inner class `given a host of another region whose replicas fail half of the requests` {
+        private val south =
+            RunningHost("south-1", "south", listOf(north.self.peerAddress), retryAllowance = ALLOWANCE)
+
+        @AfterEach
+        fun close(): Unit = south.close()
+
+        private fun addFailingReplicas() {
+            val seen = ConcurrentHashMap.newKeySet<String>()
+            repeat(2) { number ->
+                replicas += ScriptedReplica { request ->
+                    val id = request.header("Id").orEmpty()
+                    val fails = seen.add(id) && id.removePrefix("q").toInt() % 2 == 0
+                    val failure = "HTTP/1.1 500 No\r\nId: $id\r\nContent-Length: 0\r\n\r\n"
+                    send(if (fails) failure else signedResponse(request, "answer"))
+                }
+                listOf(north, south).forEach { it.add("s$number", replicas.last(), region = "south") }
+            }
+            awaitUntil { north.process.hosts.ready(MonotonicClock.SYSTEM.now()).isNotEmpty() }
+        }
+
+        // Only the host that the caller had sent a request to counted it, and only its own retries could use the ratio.
+        @Test
+        fun `forwarded requests are repeated as far as the limit allows`() {
+            addFailingReplicas()
+            val failures = sendRequests().count { it != 200 }
+            expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats())
+            expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
+            expectThat(failures).isEqualTo(REQUESTS / 2 - repeats)
+        }
+    }
+
+    private companion object {
+        const val RATIO = 0.2
+        const val ALLOWANCE = 4.0
+        const val REQUESTS = 200
+
+        /** The share of the ratio that must be usable where enough requests fail. */
+        const val USED_SHARE = 0.9
+    }
+}
