A request that is forwarded again counts for the retry budget

Cause: only an attempt at a replica of the host's own region was withdrawn from the budget. A forward never was, and the host that receives one counts its first attempt as the first of the request. So a host that ends repeats all requests it had in progress. Ruled out: forwards that found no connection ("not sent" in the record) send nothing and stay free. Change: a forward after an earlier attempt needs a withdrawal, like every other attempt.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -89,13 +89,17 @@
             place.claim.giveBack()
             return PlacementResult.Reserved
         }
-        if (history.count > 0 && !context.retries.tryWithdraw(policy.service, now)) {
+        if (!mayRepeat(now)) {
             place.claim.giveBack()
             return PlacementResult.RetryBudgetExhausted
         }
         return attempting(place, now)
     }
 
+    /** Whether this is the first attempt, or the shared budget permits another one. */
+    private fun mayRepeat(now: MonotonicInstant): Boolean =
+        history.count == 0 || context.retries.tryWithdraw(policy.service, now)
+
     private fun attempting(place: ReplicaPlace, now: MonotonicInstant): PlacementResult.Attempting {
         val decision = place.decision
         val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, now)
@@ -110,6 +114,7 @@
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return PlacementResult.NoPlace(wait = null)
         if (!wait.mayTake(decision.region, replica = null, now)) return PlacementResult.Reserved
+        if (!mayRepeat(now)) return PlacementResult.RetryBudgetExhausted
         context.meters.forwarded()
         val attempt = PeerAttempt(context, proxiedRequest, host, now)
         return PlacementResult.Attempting(attempt) {
