An attempt that another replica answered with 421 counts for the retry budget

Cause: the budget was consulted if the count of attempts towards the route's maximum was above zero. A 421 is taken off that count, although the request arrived; so it went from replica to replica without a withdrawal. A host that received a forwarded request and got only 421 reported it as not sent, and the host that forwarded it took it off its own count. Change: arrivals are counted apart from attempts; the budget follows arrivals, the route's maximum attempts. The new outcome `wrong-replica` tells the forwarding host; a host of the build before relays the rejection, which is a 503 that holds.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
@@ -19,6 +19,10 @@
     var count: Int = 0
         private set
 
+    /** Number of attempts that may have arrived at a replica, also at one that was not the intended one. */
+    var arrivals: Int = 0
+        private set
+
     /** Replicas that the request must not be sent to again. */
     val excludedReplicas: Set<ReplicaId> get() = triedReplicas
 
@@ -37,6 +41,7 @@
     /** Records that the request was written to a target. */
     fun recordSent() {
         count += 1
+        arrivals += 1
         possibleRuns += 1
     }
 
@@ -61,6 +66,7 @@
         possibleRuns -= 1
         if (outcome == PeerOutcome.NOT_RUN) return
         count -= 1
-        if (outcome == PeerOutcome.NOT_SENT) fullRegions += region
+        if (outcome != PeerOutcome.WRONG_REPLICA) arrivals -= 1
+        if (outcome != PeerOutcome.HOST_STOPPING) fullRegions += region
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/CallerResponse.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/CallerResponse.kt
@@ -99,8 +99,11 @@
     }
 
     /** A request that no region would serve counts as not run, so that it is not tried in another one. */
-    private fun ownOutcome(isForGood: Boolean): PeerOutcome =
-        if (history.count == 0 && !isForGood) PeerOutcome.NOT_SENT else PeerOutcome.NOT_RUN
+    private fun ownOutcome(isForGood: Boolean): PeerOutcome = when {
+        isForGood || history.count > 0 -> PeerOutcome.NOT_RUN
+        history.arrivals > 0 -> PeerOutcome.WRONG_REPLICA
+        else -> PeerOutcome.NOT_SENT
+    }
 
     private fun finish(status: Int, reason: String) {
         isDone = true
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -31,6 +31,9 @@
 
     /** The host is stopping and did not send the request to any replica; other hosts of its region may. */
     HOST_STOPPING("host-stopping"),
+
+    /** Only replicas that were not the intended ones received the request. */
+    WRONG_REPLICA("wrong-replica"),
 }
 
 /**
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -96,9 +96,9 @@
         return attempting(place, now)
     }
 
-    /** Whether this is the first attempt, or the shared budget permits another one. */
+    /** Whether the request has not arrived anywhere yet, or the shared budget permits another one. */
     private fun mayRepeat(now: MonotonicInstant): Boolean =
-        history.count == 0 || context.retries.tryWithdraw(policy.service, now)
+        history.arrivals == 0 || context.retries.tryWithdraw(policy.service, now)
 
     private fun attempting(place: ReplicaPlace, now: MonotonicInstant): PlacementResult.Attempting {
         val decision = place.decision
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -36,7 +36,7 @@
     val metadata: RequestMetadata get() = request.metadata
 
     /** Whether an earlier attempt already sent the request to a target. */
-    val isRetry: Boolean get() = history.count > 1
+    val isRetry: Boolean get() = history.arrivals > 1
 
     /** Whether prompt parts of the request are quarantined. */
     val quarantine = QuarantineCheck(context, request)
@@ -141,7 +141,7 @@
 
     /** Adds to a log line what tells a repeat from a first attempt, and the policy from the manifest in force. */
     fun describePlacement(line: JsonObjectBuilder) {
-        line.put("attempts", history.count)
+        line.put("attempts", history.arrivals)
         line.put("policy", policy.version.value)
         context.routingState.manifest?.let { line.put("manifest", it.version.value) }
     }
