A restarted host takes no part of the retry allowance for a window

Cause: a host counts its retries in memory. 3.5 s after a start it took its part of the fixed allowance, although its former process may have used the same part within the same window of 10 s. Evidence: SharedBudgetsTest, a host that starts each 4 s uses 10 retries within a window, its part is 7.5. Change: the part is free once the window has passed since the host learned the estate. The ratio of its own requests is free at once, since the requests of the former process stay counted with its retries. Result: the test passes. A host that was just started with few requests retries nothing for ten seconds.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/SharedBudgets.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/SharedBudgets.kt
@@ -20,22 +20,25 @@
  *   before that.
  * @param settlingTime time after which this host knows the other hosts, and these know this one. Before that, it takes
  *   no part of the shared budgets.
+ * @param retrySettlingTime time within which this host takes no part of the allowance for retries. At least the window
+ *   in which they are counted: the former process of this host may have used the same part just before its end.
  */
 public class SharedBudgets(
     private val hosts: KnownEntryHosts,
     private val settlingTime: Duration,
+    private val retrySettlingTime: Duration,
     private val estateKnownSince: () -> MonotonicInstant?,
 ) {
     /** The number of hosts that share the budget for retries at [now]; null while this host may take no part of it. */
     public fun retrySharers(now: MonotonicInstant): Int? =
-        if (isSettled(now)) hosts.budgetSharers(now, region = null) else null
+        if (isKnownFor(retrySettlingTime, now)) hosts.budgetSharers(now, region = null) else null
 
     /** Whether this host may send a request to the cold [replica] at [now]. */
     public fun mayUseColdReplica(replica: ReplicaId, now: MonotonicInstant): Boolean =
-        isSettled(now) && hosts.mayUseColdReplica(replica, now)
+        isKnownFor(settlingTime, now) && hosts.mayUseColdReplica(replica, now)
 
-    private fun isSettled(now: MonotonicInstant): Boolean =
-        estateKnownSince()?.let { now - it >= settlingTime } ?: false
+    private fun isKnownFor(time: Duration, now: MonotonicInstant): Boolean =
+        estateKnownSince()?.let { now - it >= time } ?: false
 
     /** Times. */
     public companion object {
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/entry/SharedBudgetsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/entry/SharedBudgetsTest.kt
@@ -52,7 +52,7 @@
         settlingTime: Duration,
     ) {
         val hosts = KnownEntryHosts(profile)
-        val budgets = SharedBudgets(hosts, settlingTime) { startedAt }
+        val budgets = SharedBudgets(hosts, settlingTime, WINDOW) { startedAt }
         var nextColdRequestAt = startedAt
     }
 
@@ -130,7 +130,7 @@
 
         @Test
         fun `a host that has not learned the estate takes no part of a budget`() {
-            val budgets = SharedBudgets(KnownEntryHosts(profile(1)), SETTLING_TIME) { null }
+            val budgets = SharedBudgets(KnownEntryHosts(profile(1)), SETTLING_TIME, WINDOW) { null }
             expectThat(budgets.retrySharers(start)).isNull()
             expectThat(budgets.mayUseColdReplica(replica, start)).isFalse()
         }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -112,7 +112,8 @@
     private val observability = Observability(log, meters)
     private val reads = RecentPrefills()
     private val quarantine = PromptPartQuarantine()
-    private val sharedBudgets = SharedBudgets(hosts, settings.settlingTime, routingState::knownSince)
+    private val sharedBudgets =
+        SharedBudgets(hosts, settings.settlingTime, settings.retrySettlingTime, routingState::knownSince)
     private val placement = Placement(
         Distances(
             settings.self.region,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostSettings.kt
@@ -19,6 +19,8 @@
  *   takes no part of the budgets that all hosts share until then.
  * @property eventLoops number of threads that process requests.
  * @property revocationBound time within which a removed account key must stop working on all hosts; null for none.
+ * @property retrySettlingTime time after the start within which the host takes no part of [retryAllowance]; by default
+ *   as long as retries of its former process count.
  * @property hedging extra work that the operator accepts to cut the slowest responses.
  * @property machine what the machine permits the process.
  */
@@ -39,6 +41,7 @@
     public val waiting: WaitingSettings = WaitingSettings(),
     public val machine: MachineLimits = MachineLimits(),
     public val hedging: HedgeLimit = HedgeLimit.NONE,
+    public val retrySettlingTime: Duration = maxOf(settlingTime, retryWindow),
 )
 
 /** Whether requests that find no place wait in an order. */
