A retry that was not sent is given back to the budget

Cause: a withdrawal was kept although no connection was established, the replica had asked for a pause meanwhile, the attempt was cancelled before it was sent, or the host of another region had sent the request to no replica. Evidence: RetryBudgetTest `the limit stays free for requests that are sent`: 27 of 40 permitted repeats before this commit. Change: a withdrawal is a permit that the attempt gives back if nothing was sent; a peer's outcome says whether a replica received it. Result: the test passes (36 or more).

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/EventWindow.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/EventWindow.kt
@@ -13,6 +13,11 @@
         removeExpired(now)
     }
 
+    /** Removes one event at [time]; has no effect if it has expired. */
+    fun remove(time: MonotonicInstant) {
+        times.remove(time)
+    }
+
     /** Number of events within [length] before [now]. */
     fun count(now: MonotonicInstant): Int {
         removeExpired(now)
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/attempt/WindowedRetryBudget.kt
@@ -52,5 +52,10 @@
         true
     }
 
+    /** Returns a retry that was withdrawn for [service] at [withdrawnAt] and not sent. */
+    public fun giveBack(service: ServiceName, withdrawnAt: MonotonicInstant): Unit = synchronized(lock) {
+        serviceWindow(service).retries.remove(withdrawnAt)
+    }
+
     private fun serviceWindow(service: ServiceName): ServiceWindow = windows.getOrPut(service) { ServiceWindow(window) }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/AttemptHistory.kt
@@ -66,7 +66,7 @@
         possibleRuns -= 1
         if (outcome == PeerOutcome.NOT_RUN) return
         count -= 1
-        if (outcome != PeerOutcome.WRONG_REPLICA) arrivals -= 1
+        if (!outcome.hasArrived) arrivals -= 1
         if (outcome != PeerOutcome.HOST_STOPPING) fullRegions += region
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -2,12 +2,9 @@
 
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
-import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.AccountQuotas
 import org.buckthornwheel.decision.attempt.HedgePolicy
-import org.buckthornwheel.decision.attempt.WindowedRetryBudget
 import org.buckthornwheel.decision.entry.KnownEntryHosts
-import org.buckthornwheel.decision.entry.SharedBudgets
 import org.buckthornwheel.decision.placement.Placement
 import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
@@ -67,13 +64,5 @@
     val limits: ReplicaLimits,
 )
 
-/** The retries that this host may send, as its part of the [budget] that all hosts share. */
-internal class Retries(private val budget: WindowedRetryBudget, private val sharedBudgets: SharedBudgets) {
-    fun recordRequest(service: ServiceName, now: MonotonicInstant): Unit = budget.recordRequest(service, now)
-
-    fun tryWithdraw(service: ServiceName, now: MonotonicInstant): Boolean =
-        budget.tryWithdraw(service, sharedBudgets.retrySharers(now), now)
-}
-
 /** The outputs for decisions and metrics. */
 internal class Observability(val log: DecisionLog, val meters: ForwardingMeters)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -24,6 +24,7 @@
     private val context: ForwardingContext,
     private val proxiedRequest: ProxiedRequest,
     private val host: EntryHostProfile,
+    private val permit: RetryPermit,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -51,6 +52,7 @@
         if (isEnded) return
         isEnded = true
         relay?.discard()
+        if (connection == null) permit.giveBack()
         connection?.cancel()
     }
 
@@ -95,6 +97,7 @@
         if (response.isInsideEvent) return broken("stream ended inside an event")
         val rejection = outcome ?: return response.complete()
         response.discard()
+        if (!rejection.hasArrived) permit.giveBack()
         proxiedRequest.onPeerRejected(this, host, rejection, retryAfterSeconds?.seconds)
     }
 
@@ -124,6 +127,7 @@
     private fun notSent(reason: String) {
         if (isEnded) return
         isEnded = true
+        permit.giveBack()
         log("not sent", reason)
         proxiedRequest.onNotSent(this, null, host.name.value)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -21,19 +21,23 @@
 import java.util.Base64
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Why the host of another region rejected a request that certainly no replica ran. */
-internal enum class PeerOutcome(val text: String) {
+/**
+ * Why the host of another region rejected a request that certainly no replica ran.
+ *
+ * @property hasArrived whether a replica received the request.
+ */
+internal enum class PeerOutcome(val text: String, val hasArrived: Boolean) {
     /** The request was not sent to any replica. */
-    NOT_SENT("not-sent"),
+    NOT_SENT("not-sent", hasArrived = false),
 
     /** Replicas received the request and refused it. */
-    NOT_RUN("not-run"),
+    NOT_RUN("not-run", hasArrived = true),
 
     /** The host is stopping and did not send the request to any replica; other hosts of its region may. */
-    HOST_STOPPING("host-stopping"),
+    HOST_STOPPING("host-stopping", hasArrived = false),
 
     /** Only replicas that were not the intended ones received the request. */
-    WRONG_REPLICA("wrong-replica"),
+    WRONG_REPLICA("wrong-replica", hasArrived = true),
 }
 
 /**
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -60,8 +60,8 @@
         val isFree = place != null && place.decision.load.requests < place.decision.replica.slots &&
             wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
         val verdict = context.hedges.tryHedge(policy.service, isFree, now)
-        val isPermitted = Hedging.isPermitted(context, verdict) && context.retries.tryWithdraw(policy.service, now)
-        if (isPermitted && place != null) return attempting(place, now)
+        val permit = if (Hedging.isPermitted(context, verdict)) context.retries.take(policy.service, now) else null
+        if (permit != null && place != null) return attempting(place, permit, now)
         place?.claim?.giveBack()
         return null
     }
@@ -89,20 +89,25 @@
             place.claim.giveBack()
             return PlacementResult.Reserved
         }
-        if (!mayRepeat(now)) {
+        val permit = permit(now)
+        if (permit == null) {
             place.claim.giveBack()
             return PlacementResult.RetryBudgetExhausted
         }
-        return attempting(place, now)
+        return attempting(place, permit, now)
     }
 
-    /** Whether the request has not arrived anywhere yet, or the shared budget permits another one. */
-    private fun mayRepeat(now: MonotonicInstant): Boolean =
-        history.arrivals == 0 || context.retries.tryWithdraw(policy.service, now)
+    /** What the next attempt takes of the shared budget, which is nothing for the first one; null if it is used up. */
+    private fun permit(now: MonotonicInstant): RetryPermit? =
+        if (history.arrivals == 0) RetryPermit {} else context.retries.take(policy.service, now)
 
-    private fun attempting(place: ReplicaPlace, now: MonotonicInstant): PlacementResult.Attempting {
+    private fun attempting(
+        place: ReplicaPlace,
+        permit: RetryPermit,
+        now: MonotonicInstant,
+    ): PlacementResult.Attempting {
         val decision = place.decision
-        val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, now)
+        val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, permit, now)
         return PlacementResult.Attempting(attempt) {
             val headers = RequestHeaders.forReplica(context, request, decision, policy.deadline - now, lastEventId)
             attempt.start(pool, headers, request, lastEventId)
@@ -114,9 +119,9 @@
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return PlacementResult.NoPlace(wait = null)
         if (!wait.mayTake(decision.region, replica = null, now)) return PlacementResult.Reserved
-        if (!mayRepeat(now)) return PlacementResult.RetryBudgetExhausted
+        val permit = permit(now) ?: return PlacementResult.RetryBudgetExhausted
         context.meters.forwarded()
-        val attempt = PeerAttempt(context, proxiedRequest, host, now)
+        val attempt = PeerAttempt(context, proxiedRequest, host, permit, now)
         return PlacementResult.Attempting(attempt) {
             val envelope = PeerEnvelope.of(policy, history.remaining, now)
             attempt.start(pool, RequestHeaders.forPeer(context, request, envelope, lastEventId), request)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -36,6 +36,7 @@
     private val state: ReplicaState,
     private val decision: PlacementDecision.Local,
     private var claim: ReplicaClaim,
+    private val permit: RetryPermit,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -277,7 +278,10 @@
 
     private fun end(result: ReplicaAttemptResult) {
         isEnded = true
-        if (!isSent) claim.giveBack()
+        if (!isSent) {
+            claim.giveBack()
+            permit.giveBack()
+        }
         val now = context.clock.now()
         state.recordEnd(work, result, now - startedAt, decision.load.requests, now)
         val isAnswered = result == ReplicaAttemptResult.ANSWERED
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
@@ -10,6 +10,7 @@
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
 import org.buckthornwheel.forwarding.fixture.awaitUntil
@@ -42,41 +43,73 @@
     }
 
     /** Sends requests, each on a connection of its own, and returns the statuses of the responses. */
-    private fun sendRequests(count: Int = REQUESTS): List<Int?> = (1..count).map { number ->
+    private fun sendRequests(count: Int = REQUESTS, from: Int = 1): List<Int?> = List(count) { it + from }.map { number ->
         north.caller().use { caller ->
             caller.request("GET", "/read/x", "q$number")
             caller.readResponse()?.status
         }
     }
 
+    /** Adds a host of another region, at whose address [connections] are answered, with one replica. */
+    private fun addHost(number: Int, connections: ScriptedReplica) {
+        replicas += connections
+        north.add("e$number", connections, region = "east")
+        val host = EntryHostProfile(
+            HostName("east-$number"),
+            Incarnation(1),
+            ZoneName("east-a"),
+            RegionName("east"),
+            callerAddress = connections.address,
+            peerAddress = connections.address,
+            cores = 1.0,
+        )
+        north.process.hosts.recordHeartbeat(host, isReady = true, 10.seconds, MonotonicClock.SYSTEM.now())
+    }
+
+    /** A replica that fails the first attempt of each second request; [seen] are the requests that have arrived. */
+    private fun failingReplica(seen: MutableSet<String>) = ScriptedReplica { request ->
+        val id = request.header("Id").orEmpty()
+        val fails = seen.add(id) && id.removePrefix("q").toInt() % 2 == 0
+        val failure = "HTTP/1.1 500 No\r\nId: $id\r\nContent-Length: 0\r\n\r\n"
+        send(if (fails) failure else signedResponse(request, "answer"))
+    }.also { replicas += it }
+
     @Nested
     inner class `given other hosts that are lost with each request` {
-        /** A host of another region that closes the connection once it has passed a request on. */
-        private fun addLostHost(number: Int) {
-            val lost = ScriptedReplica { close() }.also { replicas += it }
-            north.add("e$number", lost, region = "east")
-            val host = EntryHostProfile(
-                HostName("east-$number"),
-                Incarnation(1),
-                ZoneName("east-a"),
-                RegionName("east"),
-                callerAddress = lost.address,
-                peerAddress = lost.address,
-                cores = 1.0,
-            )
-            north.process.hosts.recordHeartbeat(host, isReady = true, 10.seconds, MonotonicClock.SYSTEM.now())
-        }
-
         // A request whose forward broke was forwarded again without a withdrawal.
         @Test
         fun `requests are forwarded again within the limit`() {
-            repeat(2) { addLostHost(it) }
+            repeat(2) { number -> addHost(number, ScriptedReplica { close() }) }
             sendRequests()
             expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats())
             expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
         }
     }
 
+    @Nested
+    inner class `given another host that sends no request to a replica` {
+        // Each attempt that was not sent used up a retry.
+        @Test
+        fun `the limit stays free for requests that are sent`() {
+            val seen = ConcurrentHashMap.newKeySet<String>()
+            north.add("n1", failingReplica(seen))
+            addHost(
+                1,
+                ScriptedReplica { request ->
+                    val status = "HTTP/1.1 503 No\r\nId: ${request.header("Id")}\r\n"
+                    send("${status}Gateway-Outcome: not-sent\r\nContent-Length: 0\r\n\r\n")
+                },
+            )
+            sendRequests(count = NOT_SENT)
+            north.process.replicas.remove(ReplicaId("e1"))
+            replicas.removeLast().close()
+            north.add("n2", failingReplica(seen))
+            sendRequests(count = REQUESTS - NOT_SENT, from = NOT_SENT + 1)
+            expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats())
+            expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
+        }
+    }
+
     @Nested
     inner class `given replicas that respond as other ones than the intended` {
         // Attempts that did not count towards the maximum of the route did not count for the limit either.
@@ -102,13 +135,8 @@
         private fun addFailingReplicas() {
             val seen = ConcurrentHashMap.newKeySet<String>()
             repeat(2) { number ->
-                replicas += ScriptedReplica { request ->
-                    val id = request.header("Id").orEmpty()
-                    val fails = seen.add(id) && id.removePrefix("q").toInt() % 2 == 0
-                    val failure = "HTTP/1.1 500 No\r\nId: $id\r\nContent-Length: 0\r\n\r\n"
-                    send(if (fails) failure else signedResponse(request, "answer"))
-                }
-                listOf(north, south).forEach { it.add("s$number", replicas.last(), region = "south") }
+                val replica = failingReplica(seen)
+                listOf(north, south).forEach { it.add("s$number", replica, region = "south") }
             }
             awaitUntil { north.process.hosts.ready(MonotonicClock.SYSTEM.now()).isNotEmpty() }
         }
@@ -128,6 +156,7 @@
         const val RATIO = 0.2
         const val ALLOWANCE = 4.0
         const val REQUESTS = 200
+        const val NOT_SENT = 60
 
         /** The share of the ratio that must be usable where enough requests fail. */
         const val USED_SHARE = 0.9
