The host that accepted a request grants the retries of the host it forwarded it to

Cause: the budget permits a ratio of the requests of callers. Only the host that accepts a request counts it; the host that it is forwarded to, where replicas fail, has no requests that count and could use only its part of the fixed allowance. Change: a host whose own budget is used up asks the host that forwarded the request (its name is in the envelope), one call at a time for each host and service. That host withdraws from its budget, so that the bound over all hosts holds. EstateRequestStarter became HostCallStarter, which answers both calls between hosts. EncodedFormsTest records the new field; earlier recorded forms are unchanged.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -22,6 +22,9 @@
     /** The region of this host. */
     public val region: RegionName get() = self.region
 
+    /** The name of this host. */
+    public val name: HostName get() = self.name
+
     private class Entry(
         var host: EntryHostProfile,
         val heardAt: MonotonicInstant?,
@@ -99,6 +102,9 @@
     /** All known hosts, alive or not. */
     public fun all(): List<EntryHostProfile> = synchronized(lock) { known.values.map { it.host } }
 
+    /** The host [name], alive or not; null if it is not known. */
+    public fun find(name: HostName): EntryHostProfile? = synchronized(lock) { known[name]?.host }
+
     /** Hosts that are alive and ready at [now]. */
     public fun ready(now: MonotonicInstant): List<EntryHostProfile> = snapshot(now).ready
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -13,6 +13,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.buckthornwheel.api.AccountName
+import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
@@ -45,6 +46,7 @@
  *
  * @property account the client account for which the first host accepted the request. It is trusted: hosts remove the
  *   envelope that a caller sends, and only hosts reach the listener that reads it.
+ * @property origin the host that accepted the request from its caller; null if it is of an earlier build.
  */
 @Serializable
 internal data class PeerEnvelope(
@@ -59,6 +61,7 @@
     val homeRegions: Set<RegionName>,
     val remainingMilliseconds: Long,
     val account: AccountName? = null,
+    val origin: HostName? = null,
 ) {
     /**
      * The policy of the request on the receiving host, which must not forward it again; [hasAccounts] is whether that
@@ -79,6 +82,7 @@
         mayForward = false,
         account = account,
         hasAccounts = hasAccounts || account != null,
+        origin = origin,
     )
 
     /** Encoding and decoding. */
@@ -90,8 +94,13 @@
         /** Ignores fields of later builds. */
         private val CODEC = Cbor { ignoreUnknownKeys = true }
 
-        /** The envelope for the remaining time and attempts of a request with the given [policy]. */
-        fun of(policy: RequestPolicy, attemptsLeft: Int, now: MonotonicInstant): PeerEnvelope = PeerEnvelope(
+        /** The envelope for the remaining time and attempts of a request with the given [policy], from host [origin]. */
+        fun of(
+            policy: RequestPolicy,
+            attemptsLeft: Int,
+            origin: HostName,
+            now: MonotonicInstant,
+        ): PeerEnvelope = PeerEnvelope(
             routeName = policy.routeName,
             version = policy.version.value,
             service = policy.service,
@@ -103,6 +112,7 @@
             homeRegions = policy.homeRegions,
             remainingMilliseconds = (policy.deadline - now).inWholeMilliseconds,
             account = policy.account,
+            origin = origin,
         )
 
         fun write(headers: HttpHeaders, envelope: PeerEnvelope) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -36,8 +36,14 @@
 ) {
     private val policy = request.policy
     private val limited = LimitedPlacement(context)
+    private var grantedRetries = 0
     private val lastEventId: String? get() = proxiedRequest.response.lastEventId
 
+    /** Called when the host that forwarded the request has granted a retry out of its own budget. */
+    fun onRetryGranted() {
+        grantedRetries += 1
+    }
+
     fun next(now: MonotonicInstant): PlacementResult {
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
         val choice = limited.choose(placementRequest(now), reachable, now)
@@ -98,8 +104,12 @@
     }
 
     /** What the next attempt takes of the shared budget, which is nothing for the first one; null if it is used up. */
-    private fun permit(now: MonotonicInstant): RetryPermit? =
-        if (history.arrivals == 0) RetryPermit {} else context.retries.take(policy.service, now)
+    private fun permit(now: MonotonicInstant): RetryPermit? {
+        if (history.arrivals == 0) return RetryPermit {}
+        if (grantedRetries == 0) return context.retries.take(policy.service, now)
+        grantedRetries -= 1
+        return RetryPermit(::onRetryGranted)
+    }
 
     private fun attempting(
         place: ReplicaPlace,
@@ -123,7 +133,7 @@
         context.meters.forwarded()
         val attempt = PeerAttempt(context, proxiedRequest, host, permit, now)
         return PlacementResult.Attempting(attempt) {
-            val envelope = PeerEnvelope.of(policy, history.remaining, now)
+            val envelope = PeerEnvelope.of(policy, history.remaining, context.hosts.name, now)
             attempt.start(pool, RequestHeaders.forPeer(context, request, envelope, lastEventId), request)
         }
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -24,13 +24,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** One request on its way through the gateway; [sink] receives the response. */
+/**
+ * One request on its way through the gateway; [sink] receives the response.
+ *
+ * @param grants retries of a forwarded request beyond this host's own budget; null for the request of a caller.
+ */
 internal class ProxiedRequest(
     private val context: ForwardingContext,
     pool: TargetPool,
     private val loop: EventLoop,
     private val request: ReceivedRequest,
     sink: ResponseSink,
+    private val grants: RetryGrants? = null,
 ) : WaitingOwner {
     val policy: RequestPolicy get() = request.policy
     val metadata: RequestMetadata get() = request.metadata
@@ -54,6 +59,7 @@
     private val hedging = Hedging(context, loop, request, attempts, ::hedge, ::sendHedge)
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var placementTimer: ScheduledFuture<*>? = null
+    private var awaitsGrant = false
 
     fun start() {
         val now = context.clock.now()
@@ -76,7 +82,7 @@
     fun setReading(reads: Boolean): Unit = attempts.setReading(reads)
 
     override fun place() {
-        if (response.isDone) return
+        if (response.isDone || awaitsGrant) return
         if (context.shutdown.isEnding) return onHostEnd()
         val now = context.clock.now()
         if (policy.deadline <= now) return onDeadline()
@@ -89,10 +95,24 @@
             is PlacementResult.NoPlace -> waitOrReject(result.wait ?: NO_REPLICA_RETRY_AFTER, now)
             is PlacementResult.Paused -> rejectUntilPauseEnds(result.wait, now)
             PlacementResult.Reserved -> Unit
-            PlacementResult.RetryBudgetExhausted -> giveUp("retry budget exhausted", NO_REPLICA_RETRY_AFTER)
+            PlacementResult.RetryBudgetExhausted -> requestRetry()
         }
     }
 
+    /** Asks the host that forwarded the request for a retry, since the requests of callers are counted there. */
+    private fun requestRetry() {
+        val origin = policy.origin
+        if (origin == null || grants == null) return onRetryDenied()
+        awaitsGrant = true
+        grants.request(origin, policy.service) { isGranted ->
+            awaitsGrant = false
+            if (isGranted) placement.onRetryGranted()
+            if (isGranted) place() else onRetryDenied()
+        }
+    }
+
+    private fun onRetryDenied(): Unit = giveUp("retry budget exhausted", NO_REPLICA_RETRY_AFTER)
+
     private fun begin(next: PlacementResult.Attempting, now: MonotonicInstant) {
         wait.onTaken(now)
         hedging.onBegin(next.attempt)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.forwarding.exchange
 
 import org.buckthornwheel.api.AccountName
+import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
@@ -18,6 +19,7 @@
  * @property hasAccounts whether the manifest declares client accounts, so that keys and account names in the caller's
  *   headers are not for the replica. Without accounts, they are headers like any others.
  * @property mayForward whether the request may be forwarded to another region; false if it came from another region.
+ * @property origin the host that forwarded the request; null if it came from a caller, or from a host of an earlier build.
  */
 internal data class RequestPolicy(
     val routeName: String,
@@ -34,6 +36,7 @@
     val mayForward: Boolean,
     val account: AccountName? = null,
     val hasAccounts: Boolean = account != null,
+    val origin: HostName? = null,
 ) {
     val isStreaming: Boolean get() = kind == RouteKind.STREAMING
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -18,6 +18,7 @@
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
 import org.buckthornwheel.forwarding.exchange.ReceivedRequest
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
+import org.buckthornwheel.forwarding.exchange.RetryGrants
 import java.util.concurrent.ThreadLocalRandom
 
 /** Starts the requests of callers, with the policy of their route. */
@@ -100,9 +101,12 @@
     }
 }
 
-/** Starts requests that a host of another region forwards. */
-internal class PeerRequestStarter(private val context: ForwardingContext, private val pool: TargetPool) :
-    RequestStarter {
+/** Starts requests that a host of another region forwards, which grants their retries through [grants]. */
+internal class PeerRequestStarter(
+    private val context: ForwardingContext,
+    private val pool: TargetPool,
+    private val grants: RetryGrants,
+) : RequestStarter {
     override fun mustWait(): Boolean = false
 
     override fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest? {
@@ -115,6 +119,6 @@
         }
         val hasAccounts = context.routingState.manifest?.requiresAccounts ?: false
         val received = ReceivedRequest(head, request.body, metadata, envelope.policy(request.at, hasAccounts))
-        return ProxiedRequest(context, pool, connection.eventLoop, received, connection)
+        return ProxiedRequest(context, pool, connection.eventLoop, received, connection, grants)
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -41,7 +41,7 @@
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
-import org.buckthornwheel.forwarding.front.EstateRequestStarter
+import org.buckthornwheel.forwarding.front.HostCallStarter
 import org.buckthornwheel.forwarding.front.InboundConnection
 import org.buckthornwheel.forwarding.front.InboundLimits
 import org.buckthornwheel.forwarding.front.PeerRequestStarter
@@ -51,11 +51,15 @@
 import org.buckthornwheel.forwarding.listener.Listeners
 import org.buckthornwheel.forwarding.listener.OpenListener
 import org.buckthornwheel.forwarding.membership.AccountSharing
+import org.buckthornwheel.forwarding.membership.EstateCall
+import org.buckthornwheel.forwarding.membership.EstateRecovery
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
 import org.buckthornwheel.forwarding.membership.QuarantineSharing
 import org.buckthornwheel.forwarding.membership.ReplicaLimitSharing
+import org.buckthornwheel.forwarding.exchange.RetryGrantCall
+import org.buckthornwheel.forwarding.exchange.RetryGrants
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
@@ -140,31 +144,31 @@
         ),
         startedAt = clock.now(),
     ) { ThreadLocalRandom.current().nextDouble() }
+    private val retries = Retries(
+        WindowedRetryBudget(
+            settings.retryRatio,
+            settings.retryAllowance,
+            settings.retryWindow,
+            RETRY_RATIO_SHARE,
+            RETRY_ALLOWANCE_SHARE,
+        ),
+        sharedBudgets,
+    )
     private val replicaLimits = ReplicaLimits(sharedReplicaLimits, observability)
     private val context = ForwardingContext(
         dialect = dialect,
         clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
         hosts = hosts,
         places = Places(placement, PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder)),
-        budgets = Budgets(
-            Retries(
-                WindowedRetryBudget(
-                    settings.retryRatio,
-                    settings.retryAllowance,
-                    settings.retryWindow,
-                    RETRY_RATIO_SHARE,
-                    RETRY_ALLOWANCE_SHARE,
-                ),
-                sharedBudgets,
-            ),
-            HedgePolicy(settings.hedging),
-            quotas,
-            replicaLimits,
-        ),
+        budgets = Budgets(retries, HedgePolicy(settings.hedging), quotas, replicaLimits),
         observability = observability,
         shutdown = shutdown,
         clock = clock,
     )
+    private val hostCalls = mapOf(
+        EstateRecovery.PATH to EstateCall({ estate }, log),
+        RetryGrantCall.PATH to RetryGrantCall(retries, clock),
+    )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
     private val peerResources = limits.inbound(limits.peers, ::peerLimits) { PEER_HEADER_BYTES }
@@ -245,7 +249,7 @@
         CallerRequestStarter(context, pool(loop), startup)
 
     private fun peerStarter(loop: EventLoop): RequestStarter =
-        EstateRequestStarter({ estate }, PeerRequestStarter(context, pool(loop)), log)
+        HostCallStarter(hostCalls, PeerRequestStarter(context, pool(loop), RetryGrants(hosts, loop, log)))
 
     /** Whether the service of [replica] limits the request rate of cold replicas. */
     private fun isColdRateLimited(replica: Replica): Boolean =
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -88,7 +88,8 @@
             heartbeat("heartbeat-limits", brief.copy(limits = limits)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
-            PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) }
+            PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) } +
+            envelope("envelope-origin", envelope.copy(origin = HostName("host-1")))
 
     private val recorded: Map<String, String> = checkNotNull(javaClass.getResource("/encoded-forms.txt")).readText()
         .lines().filter { it.isNotEmpty() }.associate { it.substringBefore(' ') to it.substringAfter(' ') }
