Requests in progress follow the home regions in force

Cause: the homes were part of the policy that a request gets when it arrives, and of the envelope of a forwarded one. Whatever placed it later used them: a retry, a wait, a hedge, a resumed stream, the host that receives a forward. The place in an ordered queue was kept by them, too. Change: HomesInForce reads the homes of route and account from the manifest in force, if that is newer than the policy. Placement, the queue and the last check before a request is written use it; the check after a connection was opened has no test of its own. A host that received a request which may no longer be served in its region ends the connection if the request may be repeated, so that the forwarding host places it again. Service, time limits and attempts stay those of the arrival: a request in progress may end as it began, but its data may not go elsewhere.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -43,7 +43,7 @@
         }
         pool.acquire(
             TargetKey(host.peerAddress, host.incarnation.toString()),
-            use = { newConnection -> send(newConnection, headers, request) },
+            use = { newConnection -> sendOrWithdraw(pool, newConnection, headers, request) },
             fail = { failure -> notSent(failure.reason) },
         )
     }
@@ -113,6 +113,18 @@
         proxiedRequest.onFailed(this, AttemptFailure(null, host.name.value, reason))
     }
 
+    /** Sends the request elsewhere if its home regions changed while the connection was opened. */
+    private fun sendOrWithdraw(
+        pool: TargetPool,
+        opened: TargetConnection,
+        headers: HttpHeaders,
+        request: ReceivedRequest,
+    ) {
+        if (isEnded || proxiedRequest.homes.permit(host.region)) return send(opened, headers, request)
+        pool.release(opened)
+        notSent("outside the home regions in force")
+    }
+
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
             newConnection.channel.close()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.forwarding.exchange
 
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
 import org.buckthornwheel.decision.replica.ReplicaId
@@ -21,6 +22,9 @@
     /** A place exists, but is left to a request that waits for it. */
     data object Reserved : PlacementResult
 
+    /** No region that this host may send the request to is among its homes. */
+    data object OutsideHomes : PlacementResult
+
     /** A place exists, but the request must not be sent once more. */
     data object RetryBudgetExhausted : PlacementResult
 }
@@ -45,8 +49,9 @@
     }
 
     fun next(now: MonotonicInstant): PlacementResult {
+        val homes = homes() ?: return PlacementResult.OutsideHomes
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
-        val choice = limited.choose(placementRequest(now), reachable, now)
+        val choice = limited.choose(placementRequest(homes, now), reachable, now)
         if (choice.place != null) return toReplica(choice.place, now)
         return when (val decision = choice.decision) {
             is PlacementDecision.Forward -> toRegion(decision, now)
@@ -61,7 +66,8 @@
      * sent. A second attempt is a retry for the shared budget too.
      */
     fun hedge(running: ReplicaId, now: MonotonicInstant): PlacementResult.Attempting? {
-        val placed = placementRequest(now).let { it.copy(excluded = it.excluded + running, mayForward = false) }
+        val homes = homes() ?: return null
+        val placed = placementRequest(homes, now).let { it.copy(excluded = it.excluded + running, mayForward = false) }
         val place = limited.choose(placed, emptySet(), now).place
         val isFree = place != null && place.decision.load.requests < place.decision.replica.slots &&
             wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
@@ -72,7 +78,11 @@
         return null
     }
 
-    private fun placementRequest(now: MonotonicInstant): PlacementRequest = PlacementRequest(
+    /** The regions that may serve the request now, empty if all may; null if this host cannot send it to any. */
+    private fun homes(): Set<RegionName>? =
+        proxiedRequest.homes.regions.takeIf { policy.mayForward || proxiedRequest.homes.permit(context.hosts.region) }
+
+    private fun placementRequest(homes: Set<RegionName>, now: MonotonicInstant): PlacementRequest = PlacementRequest(
         service = policy.service,
         promptTokens = request.metadata.promptTokens,
         outputTokens = request.metadata.expectedOutputTokens ?: request.metadata.outputTokens,
@@ -80,7 +90,7 @@
         priority = policy.priority,
         targetLatency = policy.targetLatency,
         remaining = policy.deadline - now,
-        homeRegions = policy.homeRegions,
+        homeRegions = homes,
         excluded = history.excludedReplicas,
         closedZones = context.routingState.closedZones,
         mayForward = policy.mayForward && !proxiedRequest.quarantine.isProbe,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -46,13 +46,16 @@
     /** Whether prompt parts of the request are quarantined. */
     val quarantine = QuarantineCheck(context, request)
 
+    /** The regions that may serve the request. */
+    val homes = HomesInForce(context.routingState, request)
+
     private val history = AttemptHistory(request.policy.maximumAttempts)
 
     /** The response that the caller gets. */
     val response = CallerResponse(context, request, sink, history, ::stopWaiting)
 
     private val wait: PlaceWait = context.queues.of(policy)
-        ?.let { QueuedWait(it, loop, request, history, context.hosts.region, this) }
+        ?.let { QueuedWait(it, loop, request, history, homes, context.hosts.region, this) }
         ?: PolledWait(loop, policy, this)
     private val placement = PlacementStep(context, pool, request, history, this, wait)
     private val attempts = RunningAttempts()
@@ -95,10 +98,17 @@
             is PlacementResult.NoPlace -> waitOrReject(result.wait ?: NO_REPLICA_RETRY_AFTER, now)
             is PlacementResult.Paused -> rejectUntilPauseEnds(result.wait, now)
             PlacementResult.Reserved -> Unit
+            PlacementResult.OutsideHomes -> leaveRegion()
             PlacementResult.RetryBudgetExhausted -> requestRetry()
         }
     }
 
+    /** The host that forwarded the request may send it to a home; it would relay a failure as it is. */
+    private fun leaveRegion() {
+        if (!policy.mayForward && policy.isRetryable && history.mayHaveRun) return response.abort(OUTSIDE_HOMES)
+        giveUp(OUTSIDE_HOMES, NO_REPLICA_RETRY_AFTER)
+    }
+
     /** Asks the host that forwarded the request for a retry, since the requests of callers are counted there. */
     private fun requestRetry() {
         val origin = policy.origin
@@ -288,6 +298,8 @@
     }
 
     private companion object {
+        const val OUTSIDE_HOMES = "outside the home regions in force"
+
         /** Slack after the deadline, so that the target's own response to its time limit arrives first. */
         val DEADLINE_SLACK = 80.milliseconds
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
@@ -17,6 +17,7 @@
     private val loop: EventLoop,
     private val request: ReceivedRequest,
     private val history: AttemptHistory,
+    private val homes: HomesInForce,
     private val region: RegionName,
     private val owner: WaitingOwner,
 ) : PlaceWait {
@@ -52,7 +53,10 @@
 
     override fun onNoPlace(wait: Duration, now: MonotonicInstant) {
         val own = ticket ?: return enter(waitingRequest(), wait, now)
-        queue.refuse(own, now)
+        val waiting = waitingRequest()
+        if (own.request.scope == waiting.scope) return queue.refuse(own, now)
+        end(now)
+        enter(waiting, wait, now)
     }
 
     override fun end(now: MonotonicInstant) {
@@ -88,7 +92,7 @@
         rank = policy.priority,
         account = policy.account,
         scope = ServingScope(
-            homes = if (policy.mayForward) policy.homeRegions else setOf(region),
+            homes = if (policy.mayForward) homes.regions.orEmpty() else setOf(region),
             excludedRegions = history.rejectingRegions.toSet(),
             excludedReplicas = history.excludedReplicas.toSet(),
         ),
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -177,6 +177,7 @@
     private fun withdrawalReason(): String? {
         val now = context.clock.now()
         state.restriction(now)?.takeIf { it.isAnnouncement }?.let { return it.source }
+        if (!proxiedRequest.homes.permit(decision.replica.region)) return "outside the home regions in force"
         if (claim.isLimited) return null
         return when (val verdict = context.limits.take(state, run, isRepeated = false, now)) {
             is LimitVerdict.Refused -> "limited"
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -14,6 +14,7 @@
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestMetadata
 import org.buckthornwheel.forwarding.exchange.ForwardingContext
+import org.buckthornwheel.forwarding.exchange.HomesInForce
 import org.buckthornwheel.forwarding.exchange.PeerEnvelope
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
 import org.buckthornwheel.forwarding.exchange.ReceivedRequest
@@ -65,15 +66,13 @@
             rejection.send(HttpResponseStatus.BAD_REQUEST, "not exactly one Host header, or no path", metadata)
             return null
         }
-        val route = manifest.select(hostName(host), head.uri().substringBefore('?'))
+        val route = manifest.select(HomesInForce.hostName(head), head.uri().substringBefore('?'))
         if (route == null) {
             rejection.send(HttpResponseStatus.NOT_FOUND, "no route in manifest ${manifest.version}", metadata)
         }
         return route
     }
 
-    private fun hostName(host: String): String = host.substringBefore(':').lowercase()
-
     private fun policy(
         manifest: Manifest,
         route: Route,
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ChangedHomesTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ChangedHomesTest.kt
@@ -16,6 +16,8 @@
 import org.buckthornwheel.forwarding.fixture.chunkedHead
 import org.buckthornwheel.forwarding.fixture.event
 import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.buckthornwheel.forwarding.host.WaitingOrder
+import org.buckthornwheel.forwarding.host.WaitingSettings
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
@@ -99,6 +101,39 @@
         }
     }
 
+    @Nested
+    inner class `given a request that waits in order while the homes are this region` {
+        private val ordered =
+            RunningHost("north-2", "north", knowsManifest = false, waiting = WaitingSettings(WaitingOrder.ORDERED))
+        private val south = RunningHost("south-1", "south", listOf(ordered.self.peerAddress), knowsManifest = false)
+
+        @AfterEach
+        fun close() {
+            ordered.close()
+            south.close()
+        }
+
+        // Guards against a place in the queue of the homes that the route had when the request arrived.
+        @Test
+        fun `it is served at a home in force`() {
+            ordered.setHomes(version = 1, "north")
+            val outside = replica()
+            val atHome = replica()
+            ordered.caller().use { caller ->
+                caller.request("POST", "/patient/x", "q1", "question")
+                Thread.sleep(WAIT_MILLISECONDS)
+                listOf(ordered, south).forEach { host ->
+                    host.setHomes(version = 2, "south")
+                    host.add("n1", outside)
+                    host.add("s1", atHome, region = "south")
+                }
+                expectThat(caller.readResponse()).isNotNull().get { status }.isEqualTo(200)
+            }
+            expectThat(outside.requests.size).isEqualTo(0)
+            expectThat(atHome.requests.size).isEqualTo(1)
+        }
+    }
+
     // Guards against the homes in the envelope of a forwarded request if the receiving host knows a newer manifest.
     @Test
     fun `a host does not serve a forwarded request that its own manifest does not permit in its region`() {
