A request forwarded after a change carries the homes in force

Cause: the envelope still carried the homes and the version of the arrival. Evidence: ChangedHomesTest `a host that knows only the older manifest serves it, too`: 503 in place of 200. Result: the test passes.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HomesInForce.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/HomesInForce.kt
@@ -16,20 +16,23 @@
  */
 internal class HomesInForce(private val routingState: RoutingState, private val request: ReceivedRequest) {
     private val policy = request.policy
-    private var version: ManifestVersion = policy.version
+    private var knownVersion = policy.version
     private var known: Set<RegionName>? = policy.homeRegions
 
     /** The regions that may serve the request: null if none may, empty if all may. */
     val regions: Set<RegionName>?
         get() {
             val manifest = routingState.manifest
-            if (manifest != null && manifest.version > version) {
-                version = manifest.version
+            if (manifest != null && manifest.version > knownVersion) {
+                knownVersion = manifest.version
                 known = regions(manifest)
             }
             return known
         }
 
+    /** The version of the manifest that defines [regions]. */
+    val version: ManifestVersion get() = regions.let { knownVersion }
+
     /** Whether the request may be served in [region]. */
     fun permit(region: RegionName): Boolean = regions?.let { it.isEmpty() || region in it } ?: false
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -94,26 +94,22 @@
         /** Ignores fields of later builds. */
         private val CODEC = Cbor { ignoreUnknownKeys = true }
 
-        /** The envelope for the remaining time and attempts of a request with the given [policy], from host [origin]. */
-        fun of(
-            policy: RequestPolicy,
-            attemptsLeft: Int,
-            origin: HostName,
-            now: MonotonicInstant,
-        ): PeerEnvelope = PeerEnvelope(
-            routeName = policy.routeName,
-            version = policy.version.value,
-            service = policy.service,
-            kind = policy.kind,
-            isResumable = policy.isResumable,
-            priority = policy.priority,
-            targetLatencyMilliseconds = policy.targetLatency.inWholeMilliseconds,
-            maximumAttempts = attemptsLeft,
-            homeRegions = policy.homeRegions,
-            remainingMilliseconds = (policy.deadline - now).inWholeMilliseconds,
-            account = policy.account,
-            origin = origin,
-        )
+        /** The envelope for the remaining time and attempts of a request with [policy], sent by the host [origin]. */
+        fun of(policy: RequestPolicy, attemptsLeft: Int, origin: HostName, now: MonotonicInstant): PeerEnvelope =
+            PeerEnvelope(
+                routeName = policy.routeName,
+                version = policy.version.value,
+                service = policy.service,
+                kind = policy.kind,
+                isResumable = policy.isResumable,
+                priority = policy.priority,
+                targetLatencyMilliseconds = policy.targetLatency.inWholeMilliseconds,
+                maximumAttempts = attemptsLeft,
+                homeRegions = policy.homeRegions,
+                remainingMilliseconds = (policy.deadline - now).inWholeMilliseconds,
+                account = policy.account,
+                origin = origin,
+            )
 
         fun write(headers: HttpHeaders, envelope: PeerEnvelope) {
             headers.set(HEADER, Base64.getUrlEncoder().encodeToString(CODEC.encodeToByteArray(envelope)))
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -143,7 +143,9 @@
         context.meters.forwarded()
         val attempt = PeerAttempt(context, proxiedRequest, host, permit, now)
         return PlacementResult.Attempting(attempt) {
-            val envelope = PeerEnvelope.of(policy, history.remaining, context.hosts.name, now)
+            val homes = proxiedRequest.homes
+            val current = policy.copy(homeRegions = homes.regions.orEmpty(), version = homes.version)
+            val envelope = PeerEnvelope.of(current, history.remaining, context.hosts.name, now)
             attempt.start(pool, RequestHeaders.forPeer(context, request, envelope, lastEventId), request)
         }
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -92,8 +92,11 @@
         quarantine.rejection(now)?.let { return rejectQuarantined(it, now) }
         val delay = policy.arrivedAt + quarantine.delay() - now
         if (delay > Duration.ZERO) return placeLater(delay)
-        if (!wait.mayTry(now)) return
-        when (val result = placement.next(now)) {
+        if (wait.mayTry(now)) proceed(placement.next(now), now)
+    }
+
+    private fun proceed(result: PlacementResult, now: MonotonicInstant) {
+        when (result) {
             is PlacementResult.Attempting -> begin(result, now)
             is PlacementResult.NoPlace -> waitOrReject(result.wait ?: NO_REPLICA_RETRY_AFTER, now)
             is PlacementResult.Paused -> rejectUntilPauseEnds(result.wait, now)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
@@ -19,7 +19,8 @@
  * @property hasAccounts whether the manifest declares client accounts, so that keys and account names in the caller's
  *   headers are not for the replica. Without accounts, they are headers like any others.
  * @property mayForward whether the request may be forwarded to another region; false if it came from another region.
- * @property origin the host that forwarded the request; null if it came from a caller, or from a host of an earlier build.
+ * @property origin the host that forwarded the request; null if it came from a caller or from a host of an earlier
+ *   build.
  */
 internal data class RequestPolicy(
     val routeName: String,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/HostCallStarter.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/HostCallStarter.kt
@@ -4,9 +4,9 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
+import org.buckthornwheel.forwarding.exchange.HostCall
 import org.buckthornwheel.forwarding.exchange.PeerEnvelope
 import org.buckthornwheel.forwarding.exchange.ProxiedRequest
-import org.buckthornwheel.forwarding.exchange.HostCall
 
 /**
  * Answers the [calls] of other hosts, by their paths; passes all other requests to [requests].
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -40,6 +40,8 @@
 import org.buckthornwheel.forwarding.exchange.ReplicaLimits
 import org.buckthornwheel.forwarding.exchange.RequestPolicy
 import org.buckthornwheel.forwarding.exchange.Retries
+import org.buckthornwheel.forwarding.exchange.RetryGrantCall
+import org.buckthornwheel.forwarding.exchange.RetryGrants
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
 import org.buckthornwheel.forwarding.front.HostCallStarter
 import org.buckthornwheel.forwarding.front.InboundConnection
@@ -58,8 +60,6 @@
 import org.buckthornwheel.forwarding.membership.LocalHostState
 import org.buckthornwheel.forwarding.membership.QuarantineSharing
 import org.buckthornwheel.forwarding.membership.ReplicaLimitSharing
-import org.buckthornwheel.forwarding.exchange.RetryGrantCall
-import org.buckthornwheel.forwarding.exchange.RetryGrants
 import org.buckthornwheel.forwarding.observability.DecisionLog
 import org.buckthornwheel.forwarding.observability.ForwardingMeters
 import org.buckthornwheel.forwarding.observability.LogPart
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ChangedHomesTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ChangedHomesTest.kt
@@ -113,17 +113,18 @@
             south.close()
         }
 
-        // Guards against a place in the queue of the homes that the route had when the request arrived.
-        @Test
-        fun `it is served at a home in force`() {
+        private val outside = replica()
+        private val atHome = replica()
+
+        /** Changes the homes to the southern region while a request waits; the southern host learns [southern]. */
+        private fun changeHomes(southern: RunningHost.() -> Unit) {
             ordered.setHomes(version = 1, "north")
-            val outside = replica()
-            val atHome = replica()
             ordered.caller().use { caller ->
                 caller.request("POST", "/patient/x", "q1", "question")
                 Thread.sleep(WAIT_MILLISECONDS)
+                ordered.setHomes(version = 2, "south")
+                south.southern()
                 listOf(ordered, south).forEach { host ->
-                    host.setHomes(version = 2, "south")
                     host.add("n1", outside)
                     host.add("s1", atHome, region = "south")
                 }
@@ -132,6 +133,15 @@
             expectThat(outside.requests.size).isEqualTo(0)
             expectThat(atHome.requests.size).isEqualTo(1)
         }
+
+        // Guards against a place in the queue of the homes that the route had when the request arrived.
+        @Test
+        fun `it is served at a home in force`(): Unit = changeHomes { setHomes(version = 2, "south") }
+
+        // Guards against an envelope with homes that are no longer in force.
+        @Test
+        fun `a host that knows only the older manifest serves it, too`(): Unit =
+            changeHomes { setHomes(version = 1, "north") }
     }
 
     // Guards against the homes in the envelope of a forwarded request if the receiving host knows a newer manifest.
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
@@ -43,12 +43,13 @@
     }
 
     /** Sends requests, each on a connection of its own, and returns the statuses of the responses. */
-    private fun sendRequests(count: Int = REQUESTS, from: Int = 1): List<Int?> = List(count) { it + from }.map { number ->
-        north.caller().use { caller ->
-            caller.request("GET", "/read/x", "q$number")
-            caller.readResponse()?.status
+    private fun sendRequests(count: Int = REQUESTS, from: Int = 1): List<Int?> =
+        List(count) { it + from }.map { number ->
+            north.caller().use { caller ->
+                caller.request("GET", "/read/x", "q$number")
+                caller.readResponse()?.status
+            }
         }
-    }
 
     /** Adds a host of another region, at whose address [connections] are answered, with one replica. */
     private fun addHost(number: Int, connections: ScriptedReplica) {
