--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RetryGrants.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RetryGrants.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.entry.KnownEntryHosts
@@ -42,48 +43,57 @@
     }
 }
 
-/** Requests retries from other hosts, with one request to each host and service at a time. Used on [loop]. */
+/**
+ * Requests retries from other hosts, with one request to each host and service at a time, and none for a while after a
+ * denial. Used on [loop].
+ */
 internal class RetryGrants(
     private val hosts: KnownEntryHosts,
     private val loop: EventLoop,
+    private val clock: MonotonicClock,
     private val log: DecisionLog,
 ) {
     private data class Source(val address: NetworkAddress, val service: ServiceName)
 
-    private class Waiting(val client: HttpServiceClient) {
+    private class Requests(val client: HttpServiceClient) {
         val receivers = ArrayDeque<(Boolean) -> Unit>()
-        var isRequesting = false
+        var isInProgress = false
+        var deniedUntil: MonotonicInstant? = null
     }
 
-    private val waiting = HashMap<Source, Waiting>()
+    private val requests = HashMap<Source, Requests>()
 
     /** Requests a retry for [service] from the host [origin], and passes to [done] whether it was granted. */
     fun request(origin: HostName, service: ServiceName, done: (Boolean) -> Unit) {
         val address = hosts.find(origin)?.peerAddress ?: return done(false)
         val source = Source(address, service)
-        val present = waiting.getOrPut(source) { Waiting(HttpServiceClient(loop, address)) }
+        val present = requests.getOrPut(source) { Requests(HttpServiceClient(loop, address)) }
+        if (present.deniedUntil?.let { clock.now() < it } == true) return done(false)
         present.receivers.addLast(done)
-        if (!present.isRequesting) send(source, present)
+        if (!present.isInProgress) send(source, present)
     }
 
-    private fun send(source: Source, from: Waiting) {
-        val batch = List(minOf(from.receivers.size, RetryGrantCall.MAXIMUM_COUNT)) { from.receivers.removeFirst() }
-        if (batch.isEmpty()) {
-            waiting.remove(source)
-            return
-        }
-        from.isRequesting = true
+    private fun send(source: Source, requests: Requests) {
+        val count = minOf(requests.receivers.size, RetryGrantCall.MAXIMUM_COUNT)
+        if (count == 0) return
+        val batch = List(count) { requests.receivers.removeFirst() }
+        requests.isInProgress = true
         val service = URLEncoder.encode(source.service.value, Charsets.UTF_8)
-        val uri = "${RetryGrantCall.PATH}?${RetryGrantCall.SERVICE}=$service&${RetryGrantCall.COUNT}=${batch.size}"
-        from.client.call(HttpCall("POST", uri, timeout = TIMEOUT)) { result ->
-            val granted = (result as? CallResult.Answered)?.takeIf { it.status == OK }?.body?.toIntOrNull()
-            if (granted == null) logFailure(source, result)
-            from.isRequesting = false
-            send(source, from)
-            batch.forEachIndexed { index, done -> done(index < (granted ?: 0)) }
+        val uri = "${RetryGrantCall.PATH}?${RetryGrantCall.SERVICE}=$service&${RetryGrantCall.COUNT}=$count"
+        requests.client.call(HttpCall("POST", uri, timeout = TIMEOUT)) { result ->
+            val granted = granted(source, result)
+            requests.isInProgress = false
+            if (granted < count) requests.deniedUntil = clock.now() + PAUSE_AFTER_DENIAL
+            send(source, requests)
+            batch.forEachIndexed { index, done -> done(index < granted) }
         }
     }
 
+    private fun granted(source: Source, result: CallResult): Int {
+        val response = (result as? CallResult.Answered)?.takeIf { it.status == OK }
+        return response?.body?.toIntOrNull() ?: 0.also { logFailure(source, result) }
+    }
+
     private fun logFailure(source: Source, result: CallResult): Unit =
         log.write(LogPart.REQUEST, "no response on retries") {
             put("peer", source.address.toString())
@@ -96,5 +106,8 @@
 
         /** Several round trips between regions; a retry that has to wait longer comes too late for most callers. */
         val TIMEOUT = 500.milliseconds
+
+        /** Short against the window of the budget, so that hardly any permitted retry is lost. */
+        val PAUSE_AFTER_DENIAL = 50.milliseconds
     }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -170,6 +170,7 @@
         RetryGrantCall.PATH to RetryGrantCall(retries, clock),
     )
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
+    private val retryGrants = ConcurrentHashMap<EventLoop, RetryGrants>()
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
     private val peerResources = limits.inbound(limits.peers, ::peerLimits) { PEER_HEADER_BYTES }
     private val quarantineSharing =
@@ -249,7 +250,10 @@
         CallerRequestStarter(context, pool(loop), startup)
 
     private fun peerStarter(loop: EventLoop): RequestStarter =
-        HostCallStarter(hostCalls, PeerRequestStarter(context, pool(loop), RetryGrants(hosts, loop, log)))
+        HostCallStarter(hostCalls, PeerRequestStarter(context, pool(loop), grants(loop)))
+
+    private fun grants(loop: EventLoop): RetryGrants =
+        retryGrants.computeIfAbsent(loop) { RetryGrants(hosts, it, clock, log) }
 
     /** Whether the service of [replica] limits the request rate of cold replicas. */
     private fun isColdRateLimited(replica: Replica): Boolean =
