--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HedgedAttemptTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/HedgedAttemptTest.kt
@@ -4,10 +4,12 @@
 
 package org.buckthornwheel.forwarding.transport
 
+import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.decision.attempt.HedgeLimit
 import org.buckthornwheel.forwarding.fixture.HostWithReplicas
 import org.buckthornwheel.forwarding.fixture.RecordedRequest
 import org.buckthornwheel.forwarding.fixture.ReplicaConnection
+import org.buckthornwheel.forwarding.fixture.TestManifest
 import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.fixture.chunk
 import org.buckthornwheel.forwarding.fixture.chunkedHead
@@ -44,8 +46,14 @@
 
     private var arrivals: (String) -> Int = { 0 }
 
+    /** Called when a replica holds a request. */
+    private var onHold: () -> Unit = {}
+
     private fun ReplicaConnection.respondOrHold(request: RecordedRequest) {
-        if (holdsNext.compareAndSet(true, false)) wasCancelled.set(awaitClose(HOLD_MILLISECONDS))
+        if (holdsNext.compareAndSet(true, false)) {
+            onHold()
+            wasCancelled.set(awaitClose(HOLD_MILLISECONDS))
+        }
         if (wasCancelled.get() && request.header("Id") == "late") return
         if (request.line.contains("/stream/")) {
             send(chunkedHead(request) + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n")
@@ -72,6 +80,17 @@
             expectThat(arrivals("late")).isEqualTo(2)
         }
 
+        // Guards against the homes that the route had when the request arrived.
+        @Test
+        fun `a late request is not hedged outside the homes in force`() {
+            val host = host(share = 0.2)
+            val moved = TestManifest.of(version = 2, homeRegions = setOf(RegionName("south")))
+            onHold = { host.host.process.routingState.updateManifest(moved) }
+            val response = host.sendRequest("/read/x", method = "GET", body = "", id = "late")
+            expectThat(response).isNotNull().get { status }.isEqualTo(200)
+            expectThat(arrivals("late")).isEqualTo(1)
+        }
+
         @Test
         fun `a request that may run only once is not hedged`() {
             val response = host(share = 0.2).sendRequest("/act/x", id = "late")
