A denial of retries holds for the requests behind it, too

What callers saw: nothing; found by reading. A used-up budget was asked again at once for the requests that had waited behind the denied call. They are denied with it. RetryBudgetTest passes.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RetryGrants.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RetryGrants.kt
@@ -83,12 +83,18 @@
         requests.client.call(HttpCall("POST", uri, timeout = TIMEOUT)) { result ->
             val granted = granted(source, result)
             requests.isInProgress = false
-            if (granted < count) requests.deniedUntil = clock.now() + PAUSE_AFTER_DENIAL
-            send(source, requests)
+            if (granted == count) send(source, requests) else deny(requests)
             batch.forEachIndexed { index, done -> done(index < granted) }
         }
     }
 
+    private fun deny(requests: Requests) {
+        requests.deniedUntil = clock.now() + PAUSE_AFTER_DENIAL
+        val waiting = requests.receivers.toList()
+        requests.receivers.clear()
+        waiting.forEach { done -> done(false) }
+    }
+
     private fun granted(source: Source, result: CallResult): Int {
         val response = (result as? CallResult.Answered)?.takeIf { it.status == OK }
         return response?.body?.toIntOrNull() ?: 0.also { logFailure(source, result) }
