A host that learns late of a replica's restart waits until its unpaced requests no longer count

What callers saw: a cold replica was flooded and crashed again (FAILBACK). Cause: the pace of the requests to a cold replica began with its registration. The requests that the host had sent to the new run just before, as to the warm run that it knew, were forgotten. Class of fault: state of a run kept under, or lost with, an identifier. Evidence: RestartBeforeRegistrationTest, "a host that learns late": 8 requests in one second on, where the host had sent 6 before it learned. Change: ColdPace holds the pace; at the registration of a new run the next request waits until a second after the last unpaced one.

--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
@@ -0,0 +1,40 @@
+package org.buckthornwheel.decision.replica
+
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Paces this host's requests to a replica while it is cold, or may be. Not thread-safe. */
+internal class ColdPace {
+    private var nextAt: MonotonicInstant? = null
+    private var lastUnpacedAt: MonotonicInstant? = null
+
+    /** Whether the interval after the last request is over. */
+    fun permits(now: MonotonicInstant): Boolean = nextAt?.let { now >= it } ?: true
+
+    /** Takes the request that is due at [now]; the next one is due after [interval]. Returns false if none is due. */
+    fun take(interval: Duration, now: MonotonicInstant): Boolean {
+        if (!permits(now)) return false
+        nextAt = now + interval
+        return true
+    }
+
+    /** Records a request at [now] to a replica that counts as warm. */
+    fun recordUnpaced(now: MonotonicInstant) {
+        lastUnpacedAt = now
+    }
+
+    /**
+     * Delays the next request until the unpaced ones are no longer counted: a new run may have got them before its
+     * registration arrived.
+     */
+    fun awaitUnpaced() {
+        val end = lastUnpacedAt?.let { it + COUNTED_FOR } ?: return
+        nextAt = listOfNotNull(nextAt, end).max()
+    }
+
+    private companion object {
+        /** Time over which the requests to a cold replica are counted. */
+        val COUNTED_FOR = 1.seconds
+    }
+}
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -44,7 +44,7 @@
     private var slowness = 1.0
     private val admission = ReplicaAdmission()
     private var coldUntil: MonotonicInstant? = null
-    private var nextColdRequestAt: MonotonicInstant? = null
+    private val coldPace = ColdPace()
     private var awaitingBytesSince: MonotonicInstant? = null
     private var selfReportedLoad: SelfReportedLoad? = null
 
@@ -62,16 +62,17 @@
     /** Applies a changed registration; after a restart of the replica, its cache is empty and its health unknown. */
     public fun register(changed: Replica, capacity: Long): Unit = synchronized(lock) {
         if (capacity != tokenCapacity) {
-            tokenCapacity = capacity
-            cache = PromptCache((capacity * PREFIX_CACHE_SHARE).toLong())
-        }
-        if (changed.startedAt != replica.startedAt) {
-            cache.clear()
-            admission.restart(changed.startedAt)
-            slowness = 1.0
-        }
-        replica = changed
-    }
+                tokenCapacity = capacity
+                cache = PromptCache((capacity * PREFIX_CACHE_SHARE).toLong())
+            }
+            if (changed.startedAt != replica.startedAt) {
+                cache.clear()
+                admission.restart(changed.startedAt)
+                slowness = 1.0
+                    coldPace.awaitUnpaced()
+            }
+            replica = changed
+            }
 
     /** Records that the run that started at [startedAt] announced that it is leaving. */
     public fun recordLeaving(startedAt: Long): Unit = synchronized(lock) {
@@ -158,24 +159,32 @@
             averageServiceTime = averageServiceTime,
             slowness = slowness,
             restriction = admission.restriction(replica, own.requests, isSilent(now), now),
-            isCold = isBefore(now, coldUntil),
-            canSendColdRequest = !isBefore(now, nextColdRequestAt),
+            isCold = isCold(now),
+            canSendColdRequest = coldPace.permits(now),
         )
     }
 
-    /** Records that a request is sent; a cold replica gets the next one after [coldRequestInterval] at the earliest. */
+    /**
+     * Records that a request is sent; a cold replica gets the next one after [coldRequestInterval] at the earliest.
+     *
+     * @return whether the request was taken of the pace of a cold replica.
+     */
     public fun recordStart(
         work: ReplicaLoad,
         parts: List<PromptPart>,
         coldRequestInterval: Duration,
         now: MonotonicInstant,
-    ): Unit = synchronized(lock) {
+    ): Boolean = synchronized(lock) {
         if (own.requests == 0) awaitingBytesSince = now
         own += work
         cache.add(parts)
-        if (isBefore(now, coldUntil)) nextColdRequestAt = now + coldRequestInterval
+        if (isCold(now)) return@synchronized coldPace.take(coldRequestInterval, now)
+        coldPace.recordUnpaced(now)
+        false
     }
 
+    private fun isCold(now: MonotonicInstant): Boolean = isBefore(now, coldUntil)
+
     /**
      * Records that bytes arrived from the replica, which has now prefilled [prefillTokens] more tokens.
      *
