A new run of a replica is registered together with its cold time

Cause: a registration replaced the run first and marked it as cold afterwards. A request that another event loop placed in between saw a warm new run. Evidence: by reading; a test would have to hit a window of microseconds. Hosts with one core have one event loop and no such window. Change: ReplicaState.register takes the cold time, under the same lock. Measured: nothing beyond the tests of the module.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -37,10 +37,9 @@
     public fun put(replica: Replica, tokenCapacity: Long, coldUntil: MonotonicInstant?) {
         val earlier = removed.take(replica.id)?.takeIf { it.current.startedAt == replica.startedAt }
         val state = states[replica.id] ?: earlier ?: ReplicaState(replica, tokenCapacity)
-        state.register(replica, tokenCapacity)
+        state.register(replica, tokenCapacity, coldUntil)
         states[replica.id] = state
         applyLeaving(state)
-        if (coldUntil != null) state.markColdUntil(coldUntil)
         rebuildIndex()
     }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -59,8 +59,15 @@
     /** Load that this host's requests put on the replica. */
     public val ownLoad: ReplicaLoad get() = synchronized(lock) { own }
 
-    /** Applies a changed registration; after a restart of the replica, its cache is empty and its health unknown. */
-    public fun register(changed: Replica, capacity: Long): Unit = synchronized(lock) {
+    /**
+     * Applies a changed registration, by which the replica is cold until [newColdUntil] unless it is known to be cold
+     * for longer. After a restart of the replica, its cache is empty and its health unknown.
+     */
+    public fun register(
+        changed: Replica,
+        capacity: Long,
+        newColdUntil: MonotonicInstant? = null,
+    ): Unit = synchronized(lock) {
         if (capacity != tokenCapacity) {
                 tokenCapacity = capacity
                 cache = PromptCache((capacity * PREFIX_CACHE_SHARE).toLong())
@@ -131,9 +138,10 @@
         synchronized(lock) { admission.restriction(replica, own.requests, isSilent(now), now) }
 
     /** Marks the replica as cold until [until], unless it is known to be cold for longer. */
-    public fun markColdUntil(until: MonotonicInstant): Unit = synchronized(lock) {
-        if (isBefore(until, coldUntil)) return@synchronized
-        coldUntil = until
+    public fun markColdUntil(until: MonotonicInstant): Unit = synchronized(lock) { extendCold(until) }
+
+    private fun extendCold(until: MonotonicInstant) {
+        if (!isBefore(until, coldUntil)) coldUntil = until
     }
 
     /** Records the [load] that [host] reports to have at the replica. */
