A replica whose connections break or fail is cold until it has said which run it is

Cause: only a new registration told a host that a replica is cold. Connections that broke and were then refused ejected the replica for a second, after which the host went on as with the warm run that it had seen end. Class of fault: what is seen of a run's end is used for health alone; state of a run kept under an identifier. Change: a lost connection that carried a request, a loss of the oldest one, and a failed connect are signs that a run has ended (TargetPool). From then on the replica counts as cold (RunDoubt, ReplicaColdness): chosen hosts send at the pace of a cold one, also requests whose connection was being opened. Meanwhile the host asks the replica which run it is (RunInquiries, GET /v1/report, field born): the same one ends the doubt after a round trip, another one is cold for its warm-up time or until its registration arrives. Connections of a former run are not used for the next. Services without a limit for cold replicas are not concerned.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -114,13 +114,18 @@
  * @property healthPath path of the health check of a replica.
  * @property coldRequestsPerSecond requests per second that a cold replica tolerates; 0 if they are not limited.
  * @property tokenCapacity prompt and output tokens that fit into a replica's memory; 0 if it is not a model engine.
+ * @property warmUp time for which a replica is cold after its start; zero if that is not declared.
  */
 public data class ServiceDefinition(
     public val name: ServiceName,
     public val healthPath: String,
     public val coldRequestsPerSecond: Double,
     public val tokenCapacity: Long,
+    public val warmUp: Duration = Duration.ZERO,
 ) {
+    /** Whether the requests to its replicas are limited while these are cold. */
+    public val limitsColdReplicas: Boolean get() = coldRequestsPerSecond > 0
+
     /** Whether its replicas are model engines, which cache prompts in memory. */
     public val isEngine: Boolean get() = tokenCapacity > 0
 }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -63,6 +63,9 @@
         return decision(best)
     }
 
+    /** Whether this host may send requests to [replica], which is cold or may be. */
+    public fun permitsCold(replica: Replica, now: MonotonicInstant): Boolean = coldReplicaPolicy.permits(replica, now)
+
     private fun options(request: PlacementRequest, reachable: Set<RegionName>, now: MonotonicInstant): Options {
         val all = replicas.of(request.service).map { it.snapshot(request.parts, now) }
         val permitted = all.filter { isPermitted(it, request, reachable, now) }
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -0,0 +1,75 @@
+package org.buckthornwheel.decision.replica
+
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration
+
+/**
+ * Whether a replica is cold, or may be since its run is doubted, and the pace of this host's requests to it meanwhile.
+ * Thread-safe.
+ *
+ * @param startedAt start of the registered run in Unix milliseconds; what is told of another run is ignored.
+ */
+public class ReplicaColdness internal constructor(private var startedAt: Long) {
+    private val lock = Any()
+    private val pace = ColdPace()
+    private val doubt = RunDoubt()
+    private var until: MonotonicInstant? = null
+
+    /** Applies a registration of the run that started at [newStart], by which it is cold until [coldUntil]. */
+    internal fun register(newStart: Long, coldUntil: MonotonicInstant?): Unit = synchronized(lock) {
+        if (newStart != startedAt) {
+            startedAt = newStart
+            doubt.clear()
+            pace.awaitUnpaced()
+        }
+        if (coldUntil != null) extend(coldUntil)
+    }
+
+    /** Marks the replica as cold until [coldUntil], unless it is known to be cold for longer. */
+    public fun markUntil(coldUntil: MonotonicInstant): Unit = synchronized(lock) { extend(coldUntil) }
+
+    private fun extend(coldUntil: MonotonicInstant) {
+        until = listOfNotNull(until, coldUntil).max()
+    }
+
+    /** Records a sign at [now] that the run which started at [run] has ended; returns whether it is the known one. */
+    public fun recordSignOfEnd(run: Long, now: MonotonicInstant): Boolean = synchronized(lock) {
+        if (run != startedAt) return@synchronized false
+        doubt.raise(now)
+        true
+    }
+
+    /** Records that the run which started at [run] existed at [asOf]; returns whether that ends the doubt. */
+    public fun recordRunning(run: Long, asOf: MonotonicInstant): Boolean =
+        synchronized(lock) { run == startedAt && doubt.refute(asOf) }
+
+    /**
+     * Records that a later run than the one which started at [run] answered, before its registration arrived. It has
+     * warmed up at [warmAt].
+     */
+    public fun recordRestart(run: Long, warmAt: MonotonicInstant): Unit = synchronized(lock) {
+        if (run == startedAt) doubt.confirm(warmAt)
+    }
+
+    /** Whether the run that started at [run] is the known one, and may have ended. */
+    public fun isDoubted(run: Long, now: MonotonicInstant): Boolean =
+        synchronized(lock) { run == startedAt && doubt.isRaised(now) }
+
+    /** Whether the replica is cold at [now], or may be. */
+    public fun isCold(now: MonotonicInstant): Boolean = synchronized(lock) { isColdAt(now) }
+
+    private fun isColdAt(now: MonotonicInstant): Boolean = until?.let { now < it } == true || doubt.isRaised(now)
+
+    /** Whether this host's next request to the cold replica is due at [now]. */
+    public fun permitsRequest(now: MonotonicInstant): Boolean = synchronized(lock) { pace.permits(now) }
+
+    /**
+     * Takes this host's next request at [now], so that the one after it is due after [interval]. Returns false if the
+     * replica is not cold, or none is due.
+     */
+    public fun takeRequest(interval: Duration, now: MonotonicInstant): Boolean = synchronized(lock) {
+        if (isColdAt(now)) return@synchronized pace.take(interval, now)
+        pace.recordUnpaced(now)
+        false
+    }
+}
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -60,7 +60,13 @@
      * after the store was unavailable.
      */
     public fun markZoneCold(zone: ZoneName, now: MonotonicInstant) {
-        for (state in states.values) if (state.current.zone == zone) state.markColdUntil(now + REOPENED_ZONE_COLD_TIME)
+        for (state in states.values) {
+            if (state.current.zone ==
+                zone
+            ) {
+                state.coldness.markUntil(now + REOPENED_ZONE_COLD_TIME)
+            }
+        }
     }
 
     /** Removes the replica [id]; requests in progress keep a reference to its state. */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -6,25 +6,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
-
-/** Result of an attempt at a replica, as far as it concerns the health of the replica. */
-public enum class ReplicaAttemptResult {
-    /** The replica sent a complete response. */
-    ANSWERED,
-
-    /** The replica rejected the request without running it. */
-    REFUSED,
-
-    /** The replica responded with an error of its own. */
-    ERROR,
-
-    /** No complete response: connection reset, timeout, or malformed data. */
-    BROKEN,
-
-    /** The caller disconnected or the deadline passed, which says nothing about the health of the replica. */
-    ABANDONED,
-}
 
 /**
  * State of one replica as known to this host, guarded by its own lock.
@@ -43,8 +24,6 @@
     private var averageServiceTime: Duration? = null
     private var slowness = 1.0
     private val admission = ReplicaAdmission()
-    private var coldUntil: MonotonicInstant? = null
-    private val coldPace = ColdPace()
     private var awaitingBytesSince: MonotonicInstant? = null
     private var selfReportedLoad: SelfReportedLoad? = null
 
@@ -53,6 +32,9 @@
 
     private class HostReport(val load: ReplicaLoad, val receivedAt: MonotonicInstant)
 
+    /** Whether the replica is cold, or may be. */
+    public val coldness: ReplicaColdness = ReplicaColdness(registered.startedAt)
+
     /** The current registration. */
     public val current: Replica get() = synchronized(lock) { replica }
 
@@ -60,15 +42,12 @@
     public val ownLoad: ReplicaLoad get() = synchronized(lock) { own }
 
     /**
-     * Applies a changed registration, by which the replica is cold until [newColdUntil] unless it is known to be cold
-     * for longer. After a restart of the replica, its cache is empty and its health unknown.
+     * Applies a changed registration, by which the replica is cold until [coldUntil] unless it is known to be cold for
+     * longer. After a restart of the replica, its cache is empty and its health unknown.
      */
-    public fun register(
-        changed: Replica,
-        capacity: Long,
-        newColdUntil: MonotonicInstant? = null,
-    ): Unit = synchronized(lock) {
-        if (capacity != tokenCapacity) {
+    public fun register(changed: Replica, capacity: Long, coldUntil: MonotonicInstant? = null): Unit =
+        synchronized(lock) {
+            if (capacity != tokenCapacity) {
                 tokenCapacity = capacity
                 cache = PromptCache((capacity * PREFIX_CACHE_SHARE).toLong())
             }
@@ -76,10 +55,10 @@
                 cache.clear()
                 admission.restart(changed.startedAt)
                 slowness = 1.0
-                    coldPace.awaitUnpaced()
             }
             replica = changed
-            }
+            coldness.register(changed.startedAt, coldUntil)
+        }
 
     /** Records that the run that started at [startedAt] announced that it is leaving. */
     public fun recordLeaving(startedAt: Long): Unit = synchronized(lock) {
@@ -137,13 +116,6 @@
     public fun restriction(now: MonotonicInstant): ReplicaRestriction? =
         synchronized(lock) { admission.restriction(replica, own.requests, isSilent(now), now) }
 
-    /** Marks the replica as cold until [until], unless it is known to be cold for longer. */
-    public fun markColdUntil(until: MonotonicInstant): Unit = synchronized(lock) { extendCold(until) }
-
-    private fun extendCold(until: MonotonicInstant) {
-        if (!isBefore(until, coldUntil)) coldUntil = until
-    }
-
     /** Records the [load] that [host] reports to have at the replica. */
     public fun recordHostLoad(host: HostName, load: ReplicaLoad, now: MonotonicInstant): Unit = synchronized(lock) {
         if (load.requests == 0) loadByHost.remove(host) else loadByHost[host] = HostReport(load, now)
@@ -167,8 +139,8 @@
             averageServiceTime = averageServiceTime,
             slowness = slowness,
             restriction = admission.restriction(replica, own.requests, isSilent(now), now),
-            isCold = isCold(now),
-            canSendColdRequest = coldPace.permits(now),
+            isCold = coldness.isCold(now),
+            canSendColdRequest = coldness.permitsRequest(now),
         )
     }
 
@@ -186,13 +158,9 @@
         if (own.requests == 0) awaitingBytesSince = now
         own += work
         cache.add(parts)
-        if (isCold(now)) return@synchronized coldPace.take(coldRequestInterval, now)
-        coldPace.recordUnpaced(now)
-        false
+        coldness.takeRequest(coldRequestInterval, now)
     }
 
-    private fun isCold(now: MonotonicInstant): Boolean = isBefore(now, coldUntil)
-
     /**
      * Records that bytes arrived from the replica, which has now prefilled [prefillTokens] more tokens.
      *
@@ -257,8 +225,6 @@
         return now - since > SILENCE_LIMIT
     }
 
-    private fun isBefore(now: MonotonicInstant, until: MonotonicInstant?): Boolean = until != null && now < until
-
     private fun movingAverage(old: Double, sample: Double): Double = old + (sample - old) * NEWEST_SAMPLE_WEIGHT
 
     private companion object {
@@ -282,34 +248,3 @@
         const val MAXIMUM_SLOWNESS = 12.0
     }
 }
-
-/**
- * State of a replica at one moment, as a placement needs it.
- *
- * @property cachedTokens leading tokens of the request's prompt that are estimated to be cached.
- * @property averageServiceTime average time for which a request occupies a slot; null before the first response.
- * @property slowness average ratio of the actual to the predicted time to the first event.
- * @property restriction why it gets no new requests; null if it may get some.
- * @property canSendColdRequest whether the interval after the last request to the cold replica is over.
- */
-public data class ReplicaSnapshot(
-    public val replica: Replica,
-    public val load: ReplicaLoad,
-    public val tokenCapacity: Long,
-    public val cachedTokens: Int,
-    public val averageServiceTime: Duration?,
-    public val slowness: Double,
-    public val restriction: ReplicaRestriction?,
-    public val isCold: Boolean,
-    public val canSendColdRequest: Boolean,
-) {
-    /** Whether it gets no new requests, unless it is the only one and did not say so itself. */
-    public val isUnavailable: Boolean get() = restriction != null
-
-    /** Whether it wants no more requests, so that it gets none even if it is the only one. */
-    public val isBarred: Boolean get() = restriction?.isBinding ?: false
-
-    /** The average service time in milliseconds; [default] before the first response. */
-    public fun averageServiceMilliseconds(default: Double): Double =
-        averageServiceTime?.toDouble(DurationUnit.MILLISECONDS) ?: default
-}
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -0,0 +1,48 @@
+package org.buckthornwheel.decision.replica
+
+import org.buckthornwheel.api.MonotonicInstant
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Whether the known run of a replica may have ended, although its registration says nothing of that.
+ *
+ * Load pattern: a replica crashes and starts again under its identifier. Its new registration takes some hundred
+ * milliseconds, or as long as the store is unavailable. Until then every host would use the new run, which is cold,
+ * like the warm one before it. Not thread-safe.
+ */
+internal class RunDoubt {
+    private var signAt: MonotonicInstant? = null
+    private var until: MonotonicInstant? = null
+
+    /** Records a sign at [now] that the run has ended: its connections are lost, or it accepts none. */
+    fun raise(now: MonotonicInstant) {
+        signAt = now
+        until = listOfNotNull(until, now + UNANSWERED_FOR).max()
+    }
+
+    /** Records that the run existed at [asOf]; returns whether that ends the doubt. */
+    fun refute(asOf: MonotonicInstant): Boolean {
+        val sign = signAt ?: return false
+        if (asOf < sign) return false
+        clear()
+        return true
+    }
+
+    /** Records that another run answered, which has warmed up at [warmAt]. */
+    fun confirm(warmAt: MonotonicInstant) {
+        until = warmAt
+    }
+
+    /** Forgets the doubt, since the registration of another run has arrived. */
+    fun clear() {
+        signAt = null
+        until = null
+    }
+
+    fun isRaised(now: MonotonicInstant): Boolean = until?.let { now < it } ?: false
+
+    private companion object {
+        /** Time without an answer after which the registration tells; three times that of a silent replica's end. */
+        val UNANSWERED_FOR = 12.seconds
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
@@ -50,10 +50,18 @@
 /** Sends calls to [address] on [loop]; calls that do not overlap share one keep-alive connection. */
 public class HttpServiceClient(private val loop: EventLoop, private val address: NetworkAddress) {
     private var idle: Channel? = null
+    private var isClosed = false
 
     /** Sends [call] and passes its result to [done], on the event loop. */
     public fun call(call: HttpCall, done: (CallResult) -> Unit): Unit = loop.execute { begin(Pending(call, done)) }
 
+    /** Closes the idle connection, and each later one after its call. */
+    public fun close(): Unit = loop.execute {
+        isClosed = true
+        idle?.close()
+        idle = null
+    }
+
     private inner class Pending(val call: HttpCall, private val done: (CallResult) -> Unit) {
         var channel: Channel? = null
         var wasSent = false
@@ -99,7 +107,11 @@
         KeepAliveOptions.set { option, value -> bootstrap.option(option, value) }
         bootstrap.connect(InetSocketAddress(address.host, address.port)).addListener(
             ChannelFutureListener { future ->
-                if (future.isSuccess) send(future.channel(), pending) else pending.fail("connect")
+                when {
+                    !future.isSuccess -> pending.fail("connect")
+                    isClosed -> future.channel().close()
+                    else -> send(future.channel(), pending)
+                }
             },
         )
     }
@@ -126,7 +138,7 @@
             val isReadable = response.decoderResult().isSuccess
             context.pipeline().remove(this)
             if (!isReadable) return pending.fail("invalid response")
-            val mayReuse = HttpUtil.isKeepAlive(response) && idle == null
+            val mayReuse = HttpUtil.isKeepAlive(response) && idle == null && !isClosed
             if (mayReuse) idle = context.channel() else context.close()
             pending.complete(response.status().code(), response.content().toString(Charsets.UTF_8))
         }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -43,6 +43,7 @@
     private var mayReuse = true
     private var isReleasePending = false
     private var failureReason: String? = null
+    private var isClosedHere = false
 
     /** Time at which the last response ended; null before the first one. */
     var idleSince: MonotonicInstant? = null
@@ -80,6 +81,12 @@
     /** Cancels the request, and with it the target's work, by closing the connection. */
     fun cancel() {
         listener = null
+        close()
+    }
+
+    /** Closes the connection, which carries no request. */
+    fun close() {
+        isClosedHere = true
         channel.close()
     }
 
@@ -126,7 +133,7 @@
         if (listener == null && decoder.hasUndecodedBytes) fail("bytes after the response")
         if (isReleasePending) {
             isReleasePending = false
-            if (mayReuse && isOpen) pool.release(this) else channel.close()
+            if (mayReuse && isOpen) pool.release(this) else close()
         }
         context.fireChannelReadComplete()
     }
@@ -145,6 +152,7 @@
         failureReason = reason
         val receiver = listener
         listener = null
+        if (isConnectionLost && !isClosedHere) pool.onLost(this, isBusy = receiver != null)
         channel.close()
         if (receiver == null) return
         val isStale = idleBefore?.let(pool::isStale) ?: false
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -28,23 +28,33 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Key of pooled connections; [owner] distinguishes targets that used the same address one after the other. */
-internal data class TargetKey(val address: NetworkAddress, val owner: String)
+/**
+ * Key of pooled connections; [owner] distinguishes targets that used the same address one after the other, and
+ * [startedAt], in Unix milliseconds, the runs of one target.
+ */
+internal data class TargetKey(val address: NetworkAddress, val owner: String, val startedAt: Long = 0)
 
 /**
  * The pool of [loop]; responses are buffered within [responseMemory], and [onOpened] is called for each new connection.
  * Connections to targets that are [isLeaving] are not kept open.
+ *
+ * @param onSignOfEnd called with a reason when the process of a target may have ended: no connection to it could be
+ *   established, or it closed one that carried a request, or the oldest one.
  */
 internal class TargetPool(
     private val loop: EventLoop,
     val responseMemory: MemoryBudget,
     private val onOpened: () -> Unit,
     private val isLeaving: (TargetKey) -> Boolean = { false },
+    private val onSignOfEnd: (TargetKey, EventLoop, String) -> Unit = { _, _, _ -> },
 ) {
     private val clock = MonotonicClock.SYSTEM
     private val limit = IdleLimit(DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN)
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
 
+    /** The open connections, from the oldest to the newest. */
+    private val connections = HashMap<TargetKey, LinkedHashSet<TargetConnection>>()
+
     /** Calls [use] with an open connection, or [fail] with the reason if none can be opened. */
     fun acquire(key: TargetKey, use: (TargetConnection) -> Unit, fail: (ConnectFailure) -> Unit) {
         val pooled = takeIdle(key)
@@ -56,7 +66,7 @@
         val now = clock.now()
         connection.idleSince = now
         if (!isUsable(connection, now)) {
-            connection.channel.close()
+            connection.close()
             return
         }
         idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection)
@@ -68,8 +78,17 @@
      */
     fun isStale(idle: Duration): Boolean = limit.recordLoss(idle, clock.now())
 
+    /** Called when the target or the network closed [connection], which carried a request if it [isBusy]. */
+    fun onLost(connection: TargetConnection, isBusy: Boolean) {
+        val isOldest = connections[connection.key]?.firstOrNull() === connection
+        if (isBusy || isOldest) onSignOfEnd(connection.key, loop, "connection lost")
+    }
+
     fun remove(connection: TargetConnection) {
         idle[connection.key]?.remove(connection)
+        val opened = connections[connection.key] ?: return
+        opened.remove(connection)
+        if (opened.isEmpty()) connections.remove(connection.key)
     }
 
     /** Closes connections that were idle for too long. */
@@ -78,7 +97,7 @@
         idle.values.forEach { list ->
             val old = list.filterNot { isUsable(it, now) }
             list.removeAll(old)
-            old.forEach { it.channel.close() }
+            old.forEach { it.close() }
         }
         idle.values.removeIf { it.isEmpty() }
     }
@@ -90,7 +109,7 @@
         while (list.isNotEmpty()) {
             val newest = list.removeLast()
             if (newest.isOpen && isUsable(newest, now)) return newest
-            newest.channel.close()
+            newest.close()
         }
         return null
     }
@@ -121,7 +140,13 @@
         bootstrap.connect(InetSocketAddress(key.address.host, key.address.port)).addListener(
             ChannelFutureListener { future ->
                 val opened = connection
-                if (future.isSuccess && opened != null) use(opened) else fail(connectFailure(future.cause()))
+                if (future.isSuccess && opened != null) {
+                    connections.getOrPut(key) { LinkedHashSet() }.add(opened)
+                    use(opened)
+                } else {
+                    onSignOfEnd(key, loop, "connect failed")
+                    fail(connectFailure(future.cause()))
+                }
             },
         )
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -95,6 +95,12 @@
     /** The metadata in the [headers] of a replica's response with [status]. */
     public fun readResponse(status: Int, headers: HttpHeaders): ResponseMetadata
 
+    /** Path at which a replica says which run it is, without occupying a slot; null if replicas do not say so. */
+    public val runPath: String? get() = null
+
+    /** The start of a replica's run, in Unix milliseconds, in the [body] of a response at [runPath]; null if none. */
+    public fun readRunStart(body: String): Long? = null
+
     /** Marks a response as the gateway's own, for the request [id]. */
     public fun writeGatewayResponse(headers: HttpHeaders, id: RequestId)
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -127,7 +127,7 @@
 
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
-            newConnection.channel.close()
+            newConnection.close()
             return
         }
         connection = newConnection
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -48,6 +48,7 @@
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
     private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id, startedAt)
+    private var holdsColdRequest = false
     private var connection: TargetConnection? = null
     private var isFramed = false
     private var relay: ResponseRelay? = null
@@ -69,7 +70,7 @@
     val elapsed: Duration get() = context.clock.now() - startedAt
 
     fun start(pool: TargetPool, headers: HttpHeaders, request: ReceivedRequest, lastEventId: String?) {
-        state.recordStart(work, proxiedRequest.metadata.parts, coldPause(), startedAt)
+        holdsColdRequest = state.recordStart(work, proxiedRequest.metadata.parts, coldPause(), startedAt)
         context.reads.add(decision.replica.id, proxiedRequest.metadata.parts, startedAt)
         log("sent") {
             proxiedRequest.describePlacement(this)
@@ -82,7 +83,7 @@
             lastEventId?.let { put("after", it) }
         }
         pool.acquire(
-            TargetKey(decision.replica.address, decision.replica.id.value),
+            TargetKey(decision.replica.address, decision.replica.id.value, decision.replica.startedAt),
             use = { newConnection -> sendOrWithdraw(pool, newConnection, headers, request) },
             fail = ::notSent,
         )
@@ -176,19 +177,31 @@
 
     private fun withdrawalReason(): String? {
         val now = context.clock.now()
-        state.restriction(now)?.takeIf { it.isAnnouncement }?.let { return it.source }
-        if (!proxiedRequest.homes.permit(decision.replica.region)) return "outside the home regions in force"
-        if (claim.isLimited) return null
-        return when (val verdict = context.limits.take(state, run, isRepeated = false, now)) {
-            is LimitVerdict.Refused -> "limited"
-            is LimitVerdict.Granted -> null.also { claim = verdict.claim }
+        val announcement = state.restriction(now)?.takeIf { it.isAnnouncement }
+        return when {
+            announcement != null -> announcement.source
+            !proxiedRequest.homes.permit(decision.replica.region) -> "outside the home regions in force"
+            !holdsColdRequest && !mayUseCold(now) -> "cold"
+            claim.isLimited || takeOfLimit(now) -> null
+            else -> "limited"
         }
     }
 
+    /** Takes a request of the limit that the replica named while the connection was opened, if it did. */
+    private fun takeOfLimit(now: MonotonicInstant): Boolean {
+        val verdict = context.limits.take(state, run, isRepeated = false, now)
+        if (verdict is LimitVerdict.Granted) claim = verdict.claim
+        return verdict is LimitVerdict.Granted
+    }
+
+    /** Whether the request may be sent to a replica that has become cold, or doubted, since the request was placed. */
+    private fun mayUseCold(now: MonotonicInstant): Boolean = !state.coldness.isCold(now) ||
+        (context.placement.permitsCold(decision.replica, now) && state.coldness.takeRequest(coldPause(), now))
+
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
             context.log.write(LogPart.REQUEST, "connection unused") { put("request", proxiedRequest.metadata.id.value) }
-            newConnection.channel.close()
+            newConnection.close()
             return
         }
         connection = newConnection
--- /dev/null
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -0,0 +1,122 @@
+/*
+ * Asks replicas which run they are, once there is a sign that the known one has ended.
+ *
+ * Load pattern: a replica crashes and is back under its identifier before its new registration arrives here, or while
+ * the store is unavailable. Until a replica has answered, it gets no more requests than a cold one. A replica that has
+ * only lost its connections is fully used again after one round trip.
+ */
+
+package org.buckthornwheel.forwarding.exchange
+
+import io.netty.channel.EventLoop
+import kotlinx.serialization.json.put
+import org.buckthornwheel.api.MonotonicClock
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.decision.manifest.ServiceDefinition
+import org.buckthornwheel.decision.quarantine.ReplicaRun
+import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.forwarding.client.CallResult
+import org.buckthornwheel.forwarding.client.HttpCall
+import org.buckthornwheel.forwarding.client.HttpServiceClient
+import org.buckthornwheel.forwarding.connection.TargetKey
+import org.buckthornwheel.forwarding.dialect.RequestDialect
+import org.buckthornwheel.forwarding.host.RoutingState
+import org.buckthornwheel.forwarding.observability.DecisionLog
+import org.buckthornwheel.forwarding.observability.LogPart
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Inquires after the runs of [replicas] whose services limit the requests to cold replicas. Thread-safe. */
+internal class RunInquiries(
+    private val dialect: RequestDialect,
+    private val replicas: ReplicaRegistry,
+    private val routingState: RoutingState,
+    private val log: DecisionLog,
+    private val clock: MonotonicClock,
+) {
+    private val running = ConcurrentHashMap.newKeySet<ReplicaRun>()
+
+    /** Called on [loop] when the run at [key] may have ended, for the [reason]. */
+    fun onSignOfEnd(key: TargetKey, loop: EventLoop, reason: String) {
+        val path = dialect.runPath ?: return
+        val run = ReplicaRun(ReplicaId(key.owner), key.startedAt)
+        val state = replicas.find(run.replica) ?: return
+        val service = routingState.manifest?.services?.get(state.current.service) ?: return
+        if (!service.limitsColdReplicas || !state.coldness.recordSignOfEnd(run.startedAt, clock.now())) return
+        if (!running.add(run)) return
+        write("run doubted", run) { put("reason", reason) }
+        Inquiry(run, state, service, path, loop).ask()
+    }
+
+    private inner class Inquiry(
+        private val run: ReplicaRun,
+        private val state: ReplicaState,
+        private val service: ServiceDefinition,
+        private val path: String,
+        private val loop: EventLoop,
+    ) {
+        private var pause = FIRST_PAUSE
+
+        fun ask() {
+            if (!isPending()) return end("registered anew")
+            val client = HttpServiceClient(loop, state.current.address)
+            val sentAt = clock.now()
+            client.call(HttpCall("GET", path, timeout = TIMEOUT)) { result ->
+                client.close()
+                onResult(result, sentAt)
+            }
+        }
+
+        private fun isPending(): Boolean =
+            replicas.find(run.replica) === state && state.coldness.isDoubted(run.startedAt, clock.now())
+
+        private fun onResult(result: CallResult, sentAt: MonotonicInstant) {
+            if (!isPending()) return end("registered anew")
+            val response = result as? CallResult.Answered ?: return onSilence()
+            val startedAt = if (response.status == OK) dialect.readRunStart(response.body) else null
+            if (startedAt != run.startedAt) return onOtherRun(startedAt)
+            if (state.coldness.recordRunning(run.startedAt, sentAt)) end("confirmed") else ask()
+        }
+
+        private fun onSilence() {
+            state.coldness.recordSignOfEnd(run.startedAt, clock.now())
+            loop.schedule(::ask, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            pause = minOf(pause * 2, LONGEST_PAUSE)
+        }
+
+        /** The run that answers has started by now, so that it has warmed up a warm-up time later. */
+        private fun onOtherRun(startedAt: Long?) {
+            state.coldness.recordRestart(run.startedAt, clock.now() + service.warmUp + WARM_UP_MARGIN)
+            end(if (startedAt == null) "unknown" else "started again")
+        }
+
+        private fun end(outcome: String) {
+            running.remove(run)
+            write("run inquired", run) { put("outcome", outcome) }
+        }
+    }
+
+    private fun write(event: String, run: ReplicaRun, fields: kotlinx.serialization.json.JsonObjectBuilder.() -> Unit) {
+        log.write(LogPart.REPLICA, event) {
+            put("replica", run.replica.value)
+            put("run", run.startedAt)
+            fields()
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+
+        /** A replica of the same region answers within milliseconds. */
+        val TIMEOUT: Duration = 500.milliseconds
+        val FIRST_PAUSE = 50.milliseconds
+        val LONGEST_PAUSE = 400.milliseconds
+
+        /** A machine may be slower than the clock of the replica's own warm-up. */
+        val WARM_UP_MARGIN = 400.milliseconds
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -42,6 +42,7 @@
 import org.buckthornwheel.forwarding.exchange.Retries
 import org.buckthornwheel.forwarding.exchange.RetryGrantCall
 import org.buckthornwheel.forwarding.exchange.RetryGrants
+import org.buckthornwheel.forwarding.exchange.RunInquiries
 import org.buckthornwheel.forwarding.front.CallerRequestStarter
 import org.buckthornwheel.forwarding.front.HostCallStarter
 import org.buckthornwheel.forwarding.front.InboundConnection
@@ -169,6 +170,7 @@
         EstateRecovery.PATH to EstateCall({ estate }, log),
         RetryGrantCall.PATH to RetryGrantCall(retries, clock),
     )
+    private val runInquiries = RunInquiries(dialect, replicas, routingState, log, clock)
     private val pools = ConcurrentHashMap<EventLoop, TargetPool>()
     private val retryGrants = ConcurrentHashMap<EventLoop, RetryGrants>()
     private val callerResources = limits.inbound(limits.callers, ::callerLimits, ::headerBytes)
@@ -241,7 +243,7 @@
     private fun directory(): EntryDirectory = EntryDirectory(hosts, routingState, { isReady }, currency, clock)
 
     private fun pool(loop: EventLoop): TargetPool = pools.computeIfAbsent(loop) {
-        TargetPool(it, limits.memory.responses, meters::connectionOpened, ::isLeaving)
+        TargetPool(it, limits.memory.responses, meters::connectionOpened, ::isLeaving, runInquiries::onSignOfEnd)
     }
 
     private fun isLeaving(key: TargetKey): Boolean = replicas.isLeaving(ReplicaId(key.owner))
@@ -257,7 +259,7 @@
 
     /** Whether the service of [replica] limits the request rate of cold replicas. */
     private fun isColdRateLimited(replica: Replica): Boolean =
-        (routingState.manifest?.services?.get(replica.service)?.coldRequestsPerSecond ?: 0.0) > 0
+        routingState.manifest?.services?.get(replica.service)?.limitsColdReplicas ?: false
 
     /** By default, requests wait in order where callers compete as accounts, or for replicas that share machines. */
     private fun waitsInOrder(policy: RequestPolicy): Boolean = when (settings.waiting.order) {
