RetryBudgetTest sends forwarded requests at a stated pace, not as fast as the machine can

Cause: after a denial no retry is asked for 50 ms. 200 requests sent back to back take 94 to 2,291 ms, so that the last pause covers few or nearly all of them, and what accrues in it is unused when the test ends: the bound asserted a speed. Change: requests start at least 3 ms apart; numbers and share 0.9 are the same. A pause of 50 ms then covers at most 17 requests: 37 or more by calculation on any machine; with 2 ms the bound would not hold.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
@@ -24,6 +24,8 @@
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 internal class RetryBudgetTest {
@@ -42,15 +44,23 @@
         north.close()
     }
 
-    /** Sends requests, each on a connection of its own, and returns the statuses of the responses. */
-    private fun sendRequests(count: Int = REQUESTS, from: Int = 1): List<Int?> =
+    /**
+     * Sends requests, each on a connection of its own and at least [interval] after the start of the one before, and
+     * returns the statuses of the responses.
+     */
+    private fun sendRequests(count: Int = REQUESTS, from: Int = 1, interval: Duration = Duration.ZERO): List<Int?> =
         List(count) { it + from }.map { number ->
-            north.caller().use { caller ->
-                caller.request("GET", "/read/x", "q$number")
-                caller.readResponse()?.status
-            }
+            val next = MonotonicClock.SYSTEM.now() + interval
+            val status = sendRequest(number)
+            while (MonotonicClock.SYSTEM.now() < next) Thread.sleep(1)
+            status
         }
 
+    private fun sendRequest(number: Int): Int? = north.caller().use { caller ->
+        caller.request("GET", "/read/x", "q$number")
+        caller.readResponse()?.status
+    }
+
     /** Adds a host of another region, at whose address [connections] are answered, with one replica. */
     private fun addHost(number: Int, connections: ScriptedReplica) {
         replicas += connections
@@ -146,7 +156,7 @@
         @Test
         fun `forwarded requests are repeated as far as the limit allows`() {
             addFailingReplicas()
-            val failures = sendRequests().count { it != 200 }
+            val failures = sendRequests(interval = INTERVAL).count { it != 200 }
             expectThat(repeats.toDouble()).isLessThanOrEqualTo(permittedRepeats())
             expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
             expectThat(failures).isEqualTo(REQUESTS / 2 - repeats)
@@ -161,5 +171,8 @@
 
         /** The share of the ratio that must be usable where enough requests fail. */
         const val USED_SHARE = 0.9
+
+        /** Limits the requests within the pause after a denial, whose share of the ratio may be unused at the end. */
+        val INTERVAL = 3.milliseconds
     }
 }
