RetryBudgetTest: requests that come as fast as they are answered, enough of them

What callers saw: nothing. Change: a second test sends 4,000 requests back to back, so that the last pause is a small share on a fast machine, too, and asks for the same 0.9.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RetryBudgetTest.kt
@@ -161,6 +161,15 @@
             expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * REQUESTS * USED_SHARE)
             expectThat(failures).isEqualTo(REQUESTS / 2 - repeats)
         }
+
+        // A pause after a denial that is long against the requests that come meanwhile loses retries.
+        @Test
+        fun `requests that come as fast as they are answered are repeated as far as the limit allows`() {
+            addFailingReplicas()
+            val failures = sendRequests(MANY_REQUESTS).count { it != 200 }
+            expectThat(repeats.toDouble()).isGreaterThanOrEqualTo(RATIO * MANY_REQUESTS * USED_SHARE)
+            expectThat(failures).isEqualTo(MANY_REQUESTS / 2 - repeats)
+        }
     }
 
     private companion object {
@@ -169,6 +178,9 @@
         const val REQUESTS = 200
         const val NOT_SENT = 60
 
+        /** So many that the share of the last pause, which may be unused at the end, is small on a fast machine. */
+        const val MANY_REQUESTS = 4_000
+
         /** The share of the ratio that must be usable where enough requests fail. */
         const val USED_SHARE = 0.9
 
