A later run that has warmed up is not cold again after each lost connection

What callers saw: while the store is away, a replica that had started again and warmed up was used as if it were cold for 3.4 s after each lost connection. Cause: each sign is checked against the registered run. The later run answers, and counted as started by now, although it had answered before. Change: RunDoubt remembers the later run that answered, and when it has warmed up. An answer to a question that was sent before the last sign explains no sign: the replica is asked again, as with the known run.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -44,12 +44,12 @@
         synchronized(lock) { run == startedAt && doubt.refute(asOf) }
 
     /**
-     * Records that a later run than the one which started at [run] answered, before its registration arrived. It has
-     * warmed up at [warmAt].
+     * Records that a later run than the one which started at [run] existed at [asOf], before its registration arrived.
+     * It started at [answering] if it said so, and has warmed up at [warmAt], unless it answered before. Returns
+     * whether that explains all signs of the end of a run.
      */
-    public fun recordRestart(run: Long, warmAt: MonotonicInstant): Unit = synchronized(lock) {
-        if (run == startedAt) doubt.confirm(warmAt)
-    }
+    public fun recordRestart(run: Long, answering: Long?, asOf: MonotonicInstant, warmAt: MonotonicInstant): Boolean =
+        synchronized(lock) { run == startedAt && doubt.confirm(answering, asOf, warmAt) }
 
     /** Whether the run that started at [run] is the known one, and may have ended. */
     public fun isDoubted(run: Long, now: MonotonicInstant): Boolean =
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -14,6 +14,10 @@
     private var signAt: MonotonicInstant? = null
     private var until: MonotonicInstant? = null
 
+    /** The later run that answered last; null if none did, or it did not say which it is. */
+    private var laterRun: Long? = null
+    private var laterRunWarmAt: MonotonicInstant? = null
+
     /** Records a sign at [now] that the run has ended: its connections are lost, or it accepts none. */
     fun raise(now: MonotonicInstant) {
         signAt = now
@@ -28,15 +32,26 @@
         return true
     }
 
-    /** Records that another run answered, which has warmed up at [warmAt]. */
-    fun confirm(warmAt: MonotonicInstant) {
-        until = warmAt
+    /**
+     * Records that another run existed at [asOf], the one that started at [answering] if that is known. It has warmed
+     * up at [warmAt], unless it answered before. Returns whether that explains all signs.
+     */
+    fun confirm(answering: Long?, asOf: MonotonicInstant, warmAt: MonotonicInstant): Boolean {
+        if (answering == null || answering != laterRun) laterRunWarmAt = warmAt
+        laterRun = answering
+        val sign = signAt
+        if (sign != null && asOf < sign) return false
+        signAt = null
+        until = laterRunWarmAt
+        return true
     }
 
     /** Forgets the doubt, since the registration of another run has arrived. */
     fun clear() {
         signAt = null
         until = null
+        laterRun = null
+        laterRunWarmAt = null
     }
 
     fun isRaised(now: MonotonicInstant): Boolean = until?.let { now < it } ?: false
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -78,7 +78,7 @@
             if (!isPending()) return end("registered anew")
             val response = result as? CallResult.Answered ?: return onSilence()
             val startedAt = if (response.status == OK) dialect.readRunStart(response.body) else null
-            if (startedAt != run.startedAt) return onOtherRun(startedAt)
+            if (startedAt != run.startedAt) return onOtherRun(startedAt, sentAt)
             if (state.coldness.recordRunning(run.startedAt, sentAt)) end("confirmed") else ask()
         }
 
@@ -89,8 +89,9 @@
         }
 
         /** The run that answers has started by now, so that it has warmed up a warm-up time later. */
-        private fun onOtherRun(startedAt: Long?) {
-            state.coldness.recordRestart(run.startedAt, clock.now() + service.warmUp + WARM_UP_MARGIN)
+        private fun onOtherRun(startedAt: Long?, sentAt: MonotonicInstant) {
+            val warmAt = clock.now() + service.warmUp + WARM_UP_MARGIN
+            if (!state.coldness.recordRestart(run.startedAt, startedAt, sentAt, warmAt)) return ask()
             end(if (startedAt == null) "unknown" else "started again")
         }
 
--- /dev/null
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -0,0 +1,88 @@
+/*
+ * Signs that the run of a replica has ended, although it goes on: the replica is fully used again at once.
+ */
+
+package org.buckthornwheel.forwarding.transport
+
+import org.buckthornwheel.forwarding.fixture.RecordedRequest
+import org.buckthornwheel.forwarding.fixture.RunningHost
+import org.buckthornwheel.forwarding.fixture.ScriptedReplica
+import org.buckthornwheel.forwarding.fixture.TestDialect
+import org.buckthornwheel.forwarding.fixture.awaitUntil
+import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import java.io.Closeable
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTime
+
+internal class DoubtedRunTest {
+    private val resources = ArrayList<Closeable>()
+    private val host = RunningHost(coldRequestsPerSecond = 6.0).also { resources += it }
+    private val sent = AtomicInteger()
+    private val inquiries = AtomicInteger()
+
+    @AfterEach
+    fun close() = resources.forEach { it.close() }
+
+    /** A replica that answers the inquiry with [answer]. */
+    private fun replica(answer: (inquiry: Int) -> String): ScriptedReplica = ScriptedReplica {
+        if (isInquiry(it)) {
+            send(answer(inquiries.incrementAndGet()))
+        } else {
+            Thread.sleep(5)
+            send(signedResponse(it, "answer"))
+        }
+    }.also { resources += it }
+
+    private fun isInquiry(request: RecordedRequest): Boolean = " ${TestDialect.RUN_PATH} " in request.line
+
+    private fun run(startedAt: Long): String =
+        "HTTP/1.1 200 OK\r\nContent-Length: ${"$startedAt".length}\r\n\r\n$startedAt"
+
+    /** Sends [count] requests at the same time; returns how many were answered with success. */
+    private fun burst(count: Int): Int {
+        val answered = AtomicInteger()
+        List(count) {
+            thread {
+                host.caller().use { caller ->
+                    caller.request("POST", "/act/x", "q${sent.incrementAndGet()}", "question")
+                    if (caller.readResponse()?.status == 200) answered.incrementAndGet()
+                }
+            }
+        }.forEach { it.join() }
+        return answered.get()
+    }
+
+    private fun expectFullUse() {
+        var answered = 0
+        val duration: Duration = measureTime { answered = burst(FULL) }
+        expectThat(answered).isEqualTo(FULL)
+        expectThat(duration).isLessThan(1.seconds)
+    }
+
+    @Test
+    fun `a later run that has warmed up and loses connections is fully used before its registration arrives`() {
+        val replica = replica { run(2) }
+        host.add("r1", replica, startedAt = 1)
+        burst(FULL)
+        replica.resetConnections()
+        awaitUntil { inquiries.get() > 0 }
+        Thread.sleep(3_600)
+        expectFullUse()
+        replica.resetConnections()
+        awaitUntil { inquiries.get() > 1 }
+        Thread.sleep(100)
+        expectFullUse()
+    }
+
+    private companion object {
+        const val FULL = 6
+    }
+}
