A replica that rejects an inquiry after its run is asked again

What callers saw: a warm replica that lost its connections and answered the inquiry once with 503 was used as if it were cold for 3.4 s. Cause: each answer that names no run counted as that of another run. Change: after a 429, a 5xx or an unreadable report, the replica is asked again, five times at most; it counts as one that does not say its run only after that. Other answers, such as 404, count as before.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -60,6 +60,7 @@
         private val loop: EventLoop,
     ) {
         private var pause = FIRST_PAUSE
+        private var unclearAnswers = 0
 
         fun ask() {
             if (!isPending()) return end("registered anew")
@@ -78,12 +79,25 @@
             if (!isPending()) return end("registered anew")
             val response = result as? CallResult.Answered ?: return onSilence()
             val startedAt = if (response.status == OK) dialect.readRunStart(response.body) else null
+            if (startedAt == null && isUnclear(response) &&
+                ++unclearAnswers < MAXIMUM_UNCLEAR_ANSWERS
+            ) {
+                return askLater()
+            }
             if (startedAt != run.startedAt) return onOtherRun(startedAt, sentAt)
             if (state.coldness.recordRunning(run.startedAt, sentAt)) end("confirmed") else ask()
         }
 
+        /** Whether a replica that says which run it is may respond so at times. */
+        private fun isUnclear(response: CallResult.Answered): Boolean =
+            response.status == OK || response.status == TOO_MANY_REQUESTS || response.status >= FIRST_SERVER_ERROR
+
         private fun onSilence() {
             state.coldness.recordSignOfEnd(run.startedAt, clock.now())
+            askLater()
+        }
+
+        private fun askLater() {
             loop.schedule(::ask, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             pause = minOf(pause * 2, LONGEST_PAUSE)
         }
@@ -111,6 +125,11 @@
 
     private companion object {
         const val OK = 200
+        const val TOO_MANY_REQUESTS = 429
+        const val FIRST_SERVER_ERROR = 500
+
+        /** Answers without a run after which the replica counts as one that does not say it. */
+        const val MAXIMUM_UNCLEAR_ANSWERS = 5
 
         /** A replica of the same region answers within milliseconds. */
         val TIMEOUT: Duration = 500.milliseconds
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -67,6 +67,17 @@
         expectThat(duration).isLessThan(1.seconds)
     }
 
+    @Test
+    fun `a replica that rejects the inquiry is asked again`() {
+        val replica = replica { if (it == 1) "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" else run(1) }
+        host.add("r1", replica, startedAt = 1)
+        burst(FULL)
+        replica.resetConnections()
+        awaitUntil { inquiries.get() > 0 }
+        Thread.sleep(200)
+        expectFullUse()
+    }
+
     @Test
     fun `a later run that has warmed up and loses connections is fully used before its registration arrives`() {
         val replica = replica { run(2) }
