A replica that closes idle connections is not asked for its run after each

What callers saw: nothing; each idle connection that such a replica closed cost a probe and a new connection, and doubted a warm replica for a round trip. Cause: the loss of the oldest connection is a sign that the run has ended. A replica that does not announce its idle timeout (whole seconds only) closes the oldest connection first, each time.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -5,6 +5,7 @@
 package org.buckthornwheel.forwarding.transport
 
 import org.buckthornwheel.forwarding.fixture.RecordedRequest
+import org.buckthornwheel.forwarding.fixture.ReplicaConnection
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
 import org.buckthornwheel.forwarding.fixture.TestDialect
@@ -15,6 +16,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
 import java.io.Closeable
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -32,12 +34,16 @@
     fun close() = resources.forEach { it.close() }
 
     /** A replica that answers the inquiry with [answer]. */
-    private fun replica(answer: (inquiry: Int) -> String): ScriptedReplica = ScriptedReplica {
+    private fun replica(
+        afterwards: ReplicaConnection.() -> Unit = {},
+        answer: (inquiry: Int) -> String,
+    ): ScriptedReplica = ScriptedReplica {
         if (isInquiry(it)) {
             send(answer(inquiries.incrementAndGet()))
         } else {
             Thread.sleep(5)
             send(signedResponse(it, "answer"))
+            afterwards()
         }
     }.also { resources += it }
 
@@ -93,6 +99,26 @@
         expectFullUse()
     }
 
+    @Test
+    fun `a replica that closes idle connections is not asked after each`() {
+        host.add("r1", replica(afterwards = ::closeLater) { run(1) }, startedAt = 1)
+        host.caller().use { caller ->
+            repeat(10) {
+                caller.request("POST", "/act/x", "q$it", "question")
+                caller.readResponse()
+                Thread.sleep(300)
+            }
+        }
+        expectThat(inquiries.get()).isLessThanOrEqualTo(3)
+    }
+
+    private fun closeLater(connection: ReplicaConnection) {
+        thread(isDaemon = true) {
+            Thread.sleep(200)
+            connection.close()
+        }
+    }
+
     private companion object {
         const val FULL = 6
     }
