A replica at its connection limit can say which run it is

What callers saw: a warm replica that reset connections beyond its limit, as it does under load, was used as if it were cold while its connections stayed open. Cause: a reset connection is a sign that the run has ended. The inquiry opened another connection, which was reset too, for as long as the host's own idle connections took all places; each reset renewed the doubt. Change: every other call of an inquiry uses a pooled connection to the replica if there is one (PooledCall). It opens no connection, which is priced.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -42,11 +42,11 @@
  *   established, or it closed one that carried a request, or the oldest one.
  */
 internal class TargetPool(
-    private val loop: EventLoop,
+    val loop: EventLoop,
     val responseMemory: MemoryBudget,
     private val onOpened: () -> Unit,
     private val isLeaving: (TargetKey) -> Boolean = { false },
-    private val onSignOfEnd: (TargetKey, EventLoop, String) -> Unit = { _, _, _ -> },
+    private val onSignOfEnd: (TargetPool, TargetKey, String) -> Unit = { _, _, _ -> },
 ) {
     private val clock = MonotonicClock.SYSTEM
     private val limit = IdleLimit(DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN)
@@ -85,7 +85,7 @@
     /** Called when the target or the network closed [connection], which carried a request if it [isBusy]. */
     fun onLost(connection: TargetConnection, isBusy: Boolean) {
         val isOldest = connections[connection.key]?.firstOrNull() === connection
-        if (isBusy || (isOldest && !isTimeout(connection))) onSignOfEnd(connection.key, loop, "connection lost")
+        if (isBusy || (isOldest && !isTimeout(connection))) onSignOfEnd(this, connection.key, "connection lost")
     }
 
     /**
@@ -119,7 +119,7 @@
     }
 
     /** The most recently used connection, since it is the least likely to have been closed by the target. */
-    private fun takeIdle(key: TargetKey): TargetConnection? {
+    fun takeIdle(key: TargetKey): TargetConnection? {
         val list = idle[key] ?: return null
         val now = clock.now()
         while (list.isNotEmpty()) {
@@ -160,7 +160,7 @@
                     connections.getOrPut(key) { LinkedHashSet() }.add(opened)
                     use(opened)
                 } else {
-                    onSignOfEnd(key, loop, "connect failed")
+                    onSignOfEnd(this@TargetPool, key, "connect failed")
                     fail(connectFailure(future.cause()))
                 }
             },
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -4,11 +4,13 @@
  * Load pattern: a replica crashes and is back under its identifier before its new registration arrives here, or while
  * the store is unavailable. Until a replica has answered, it gets no more requests than a cold one. A replica that has
  * only lost its connections is fully used again after one round trip.
+ *
+ * Every other call uses a pooled connection if there is one: a replica that resets connections beyond its limit does
+ * not accept another one.
  */
 
 package org.buckthornwheel.forwarding.exchange
 
-import io.netty.channel.EventLoop
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
@@ -21,6 +23,7 @@
 import org.buckthornwheel.forwarding.client.HttpCall
 import org.buckthornwheel.forwarding.client.HttpServiceClient
 import org.buckthornwheel.forwarding.connection.TargetKey
+import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.host.RoutingState
 import org.buckthornwheel.forwarding.observability.DecisionLog
@@ -40,8 +43,8 @@
 ) {
     private val running = ConcurrentHashMap.newKeySet<ReplicaRun>()
 
-    /** Called on [loop] when the run at [key] may have ended, for the [reason]. */
-    fun onSignOfEnd(key: TargetKey, loop: EventLoop, reason: String) {
+    /** Called on the event loop of [pool] when the run at [key] may have ended, for the [reason]. */
+    fun onSignOfEnd(pool: TargetPool, key: TargetKey, reason: String) {
         val path = dialect.runPath ?: return
         val run = ReplicaRun(ReplicaId(key.owner), key.startedAt)
         val state = replicas.find(run.replica) ?: return
@@ -49,7 +52,7 @@
         if (!service.limitsColdReplicas || !state.coldness.recordSignOfEnd(run.startedAt, clock.now())) return
         if (!running.add(run)) return
         write("run doubted", run) { put("reason", reason) }
-        Inquiry(run, state, service, path, loop).ask()
+        Inquiry(run, state, service, path, pool, key).ask()
     }
 
     private inner class Inquiry(
@@ -57,15 +60,21 @@
         private val state: ReplicaState,
         private val service: ServiceDefinition,
         private val path: String,
-        private val loop: EventLoop,
+        private val pool: TargetPool,
+        private val key: TargetKey,
     ) {
+        private var usesPooled = false
         private var pause = FIRST_PAUSE
         private var unclearAnswers = 0
 
         fun ask() {
             if (!isPending()) return end("registered anew")
-            val client = HttpServiceClient(loop, state.current.address)
             val sentAt = clock.now()
+            val pooled = if (usesPooled) pool.takeIdle(key) else null
+            if (pooled != null) {
+                return PooledCall(pooled, dialect, TIMEOUT) { onResult(it, sentAt) }.send(path, state.current.address)
+            }
+            val client = HttpServiceClient(pool.loop, state.current.address)
             client.call(HttpCall("GET", path, timeout = TIMEOUT)) { result ->
                 client.close()
                 onResult(result, sentAt)
@@ -98,7 +107,8 @@
         }
 
         private fun askLater() {
-            loop.schedule(::ask, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+            usesPooled = !usesPooled
+            pool.loop.schedule(::ask, pause.inWholeMilliseconds, TimeUnit.MILLISECONDS)
             pause = minOf(pause * 2, LONGEST_PAUSE)
         }
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -33,15 +33,17 @@
     @AfterEach
     fun close() = resources.forEach { it.close() }
 
-    /** A replica that answers the inquiry with [answer]. */
+    /** A replica that answers the inquiry with [answer], and requests after [milliseconds]. */
     private fun replica(
+        maximumConnections: Int = Int.MAX_VALUE,
+        milliseconds: Long = 5,
         afterwards: ReplicaConnection.() -> Unit = {},
         answer: (inquiry: Int) -> String,
-    ): ScriptedReplica = ScriptedReplica {
+    ): ScriptedReplica = ScriptedReplica(maximumConnections = maximumConnections) {
         if (isInquiry(it)) {
             send(answer(inquiries.incrementAndGet()))
         } else {
-            Thread.sleep(5)
+            Thread.sleep(milliseconds)
             send(signedResponse(it, "answer"))
             afterwards()
         }
@@ -73,6 +75,14 @@
         expectThat(duration).isLessThan(1.seconds)
     }
 
+    @Test
+    fun `a replica that resets connections beyond its limit is fully used again`() {
+        host.add("r1", replica(maximumConnections = FULL, milliseconds = 100) { run(1) }, startedAt = 1)
+        burst(FULL * 2)
+        Thread.sleep(700)
+        expectFullUse()
+    }
+
     @Test
     fun `a replica that rejects the inquiry is asked again`() {
         val replica = replica { if (it == 1) "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n" else run(1) }
