A sign that arrives while an inquiry ends is not left unanswered

Cause: an inquiry records its answer before it leaves the set of the running ones. A sign that another event loop sees in between raises the doubt anew, but starts no inquiry: the replica counts as cold for 12 s, or until the next sign. Evidence: by reading; a test would have to hit a window of microseconds between two event loops. Change: an inquiry that has ended asks again if there is an unanswered sign. Measured: nothing beyond DoubtedRunTest and RestartBeforeRegistrationTest, green.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -55,6 +55,9 @@
     public fun isDoubted(run: Long, now: MonotonicInstant): Boolean =
         synchronized(lock) { run == startedAt && doubt.isRaised(now) }
 
+    /** Whether there is a sign that the run which started at [run] has ended, which no answer has explained. */
+    public fun hasUnansweredSign(run: Long): Boolean = synchronized(lock) { run == startedAt && doubt.isUnanswered }
+
     /** Whether the replica is cold at [now], or may be. */
     public fun isCold(now: MonotonicInstant): Boolean = synchronized(lock) { isColdAt(now) }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -18,6 +18,9 @@
     private var laterRun: Long? = null
     private var laterRunWarmAt: MonotonicInstant? = null
 
+    /** Whether there is a sign that no answer has explained. */
+    val isUnanswered: Boolean get() = signAt != null
+
     /** Records a sign at [now] that the run has ended: its connections are lost, or it accepts none. */
     fun raise(now: MonotonicInstant) {
         signAt = now
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -119,9 +119,11 @@
             end(if (startedAt == null) "unknown" else "started again")
         }
 
+        /** Another event loop may have seen a sign since the answer, while this inquiry was still running. */
         private fun end(outcome: String) {
             running.remove(run)
             write("run inquired", run) { put("outcome", outcome) }
+            if (isPending() && state.coldness.hasUnansweredSign(run.startedAt) && running.add(run)) ask()
         }
     }
 
