The end of a run is seen on connections that an earlier registration named

What callers saw: a run that crashed soon after its registration had arrived was followed by one that was used as if it were warm. Cause: connections that were opened while the registration still named the run before carry its start in their key. Their loss was a sign for that run alone, and ignored. Change: a loss or failed connect is a sign for the run that is registered at the address. A late loss of a connection to a run before costs one inquiry.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -43,16 +43,20 @@
 ) {
     private val running = ConcurrentHashMap.newKeySet<ReplicaRun>()
 
-    /** Called on the event loop of [pool] when the run at [key] may have ended, for the [reason]. */
+    /**
+     * Called on the event loop of [pool] when the process at [key] may have ended, for the [reason]. It may be a later
+     * run than that of the key, which was registered after the connection had been opened.
+     */
     fun onSignOfEnd(pool: TargetPool, key: TargetKey, reason: String) {
         val path = dialect.runPath ?: return
-        val run = ReplicaRun(ReplicaId(key.owner), key.startedAt)
-        val state = replicas.find(run.replica) ?: return
-        val service = routingState.manifest?.services?.get(state.current.service) ?: return
+        val state = replicas.find(ReplicaId(key.owner)) ?: return
+        val current = state.current.takeIf { it.address == key.address } ?: return
+        val run = ReplicaRun(current.id, current.startedAt)
+        val service = routingState.manifest?.services?.get(current.service) ?: return
         if (!service.limitsColdReplicas || !state.coldness.recordSignOfEnd(run.startedAt, clock.now())) return
         if (!running.add(run)) return
         write("run doubted", run) { put("reason", reason) }
-        Inquiry(run, state, service, path, pool, key).ask()
+        Inquiry(run, state, service, path, pool, key.copy(startedAt = run.startedAt)).ask()
     }
 
     private inner class Inquiry(
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartBeforeRegistrationTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartBeforeRegistrationTest.kt
@@ -116,6 +116,21 @@
         expectThat(worstSecond(arrivals)).isEqualTo(UNPACED)
     }
 
+    /** The connections to the second run were opened while the registration named the first one. */
+    @Test
+    fun `a run that ends once it is registered is doubted by its earlier connections too`() {
+        val second = run(startedAt = 2)
+        host.add("r1", second, startedAt = 1)
+        burst(WARM)
+        host.add("r1", second, startedAt = 2)
+        second.close()
+        run(startedAt = 3, port = second.address.port)
+        Thread.sleep(SIGN_MILLISECONDS)
+        arrivals.clear()
+        burst(ALLOWED * 2)
+        expectThat(worstSecond(arrivals)).isLessThanOrEqualTo(ALLOWED)
+    }
+
     @Test
     fun `a replica that only lost its connections serves all requests`() {
         val replica = run(startedAt = 1)
@@ -147,6 +162,7 @@
         const val UNPACED = 6
         const val FAILING = 4
         const val RESPONSE_MILLISECONDS = 5L
+        const val SIGN_MILLISECONDS = 100L
         const val LOAD_PAUSE_MILLISECONDS = 20L
     }
 }
