A connection that this host cannot open is no sign of a replica's end

Cause: a host without free descriptors or ports would doubt each replica that it tries, and use all of them at the pace of cold ones. Evidence: by reading; no test exhausts the descriptors of a host. Change: a failure before there is a channel, or for want of a local port, is no sign. Besides, the count of unclear answers is written in two steps.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -22,6 +22,7 @@
 import org.buckthornwheel.decision.attempt.IdleLimit
 import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
+import java.net.BindException
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
@@ -160,7 +161,9 @@
                     connections.getOrPut(key) { LinkedHashSet() }.add(opened)
                     use(opened)
                 } else {
-                    onSignOfEnd(this@TargetPool, key, "connect failed")
+                    // Without a channel or a port of its own, the host has not asked the target anything.
+                    val isOwnFault = opened == null || future.cause() is BindException
+                    if (!isOwnFault) onSignOfEnd(this@TargetPool, key, "connect failed")
                     fail(connectFailure(future.cause()))
                 }
             },
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -92,9 +92,8 @@
             if (!isPending()) return end("registered anew")
             val response = result as? CallResult.Answered ?: return onSilence()
             val startedAt = if (response.status == OK) dialect.readRunStart(response.body) else null
-            if (startedAt == null && isUnclear(response) &&
-                ++unclearAnswers < MAXIMUM_UNCLEAR_ANSWERS
-            ) {
+            if (startedAt == null && isUnclear(response) && unclearAnswers < MAXIMUM_UNCLEAR_ANSWERS) {
+                unclearAnswers += 1
                 return askLater()
             }
             if (startedAt != run.startedAt) return onOtherRun(startedAt, sentAt)
@@ -144,8 +143,8 @@
         const val TOO_MANY_REQUESTS = 429
         const val FIRST_SERVER_ERROR = 500
 
-        /** Answers without a run after which the replica counts as one that does not say it. */
-        const val MAXIMUM_UNCLEAR_ANSWERS = 5
+        /** Answers without a run, besides which the next one means that the replica does not say it. */
+        const val MAXIMUM_UNCLEAR_ANSWERS = 4
 
         /** A replica of the same region answers within milliseconds. */
         val TIMEOUT: Duration = 500.milliseconds
