The order of changes is the store's era and revision

Cause: one number, the store's revision, stood for the order of all changes: in the watcher, its listings, the cache, each item, the changes that hosts send each other, and heartbeats. It goes back when the store returns from a copy, and is given out again for other contents. Nothing read the header Store-Era, which tells the two apart.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
@@ -40,8 +40,12 @@
 
 /** The result of a call. */
 public sealed interface CallResult {
-    /** The service responded with [status]. */
-    public data class Answered(public val status: Int, public val body: String) : CallResult
+    /** The service responded with [status]; the names of [headers] are in lower case. */
+    public data class Answered(
+        public val status: Int,
+        public val body: String,
+        public val headers: Map<String, String> = emptyMap(),
+    ) : CallResult
 
     /** No complete response arrived from [peer]; the call may have been executed unless [wasSent] is false. */
     public data class Failed(public val step: String, public val peer: String, public val wasSent: Boolean) : CallResult
@@ -80,11 +84,11 @@
             done(CallResult.Failed(step, address.toString(), wasSent))
         }
 
-        fun complete(status: Int, body: String) {
+        fun complete(answer: CallResult.Answered) {
             if (isEnded) return
             isEnded = true
             timer.cancel(false)
-            done(CallResult.Answered(status, body))
+            done(answer)
         }
     }
 
@@ -140,7 +144,12 @@
             if (!isReadable) return pending.fail("invalid response")
             val mayReuse = HttpUtil.isKeepAlive(response) && idle == null && !isClosed
             if (mayReuse) idle = context.channel() else context.close()
-            pending.complete(response.status().code(), response.content().toString(Charsets.UTF_8))
+            pending.complete(answer(response))
+        }
+
+        private fun answer(response: FullHttpResponse): CallResult.Answered {
+            val headers = response.headers().associate { (name, value) -> name.lowercase() to value }
+            return CallResult.Answered(response.status().code(), response.content().toString(Charsets.UTF_8), headers)
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateCall.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateCall.kt
@@ -8,10 +8,14 @@
 /** Tells estate changes to hosts that cannot read them from the store. */
 internal class EstateCall(private val estateSync: () -> EstateSync, private val log: DecisionLog) : HostCall {
     override fun respond(parameters: Map<String, String>): String? {
-        val after = parameters[EstateRecovery.AFTER]?.toLongOrNull() ?: 0
+        val after = EstateRevision(
+            era = parameters[EstateRecovery.ERA]?.toLongOrNull() ?: 0,
+            number = parameters[EstateRecovery.AFTER]?.toLongOrNull() ?: 0,
+        )
         val changes = estateSync().changesAfter(after)
         log.write(LogPart.STORE, "changes sent to a peer") {
-            put("after", after)
+            put("era", after.era)
+            put("after", after.number)
             put("bytes", changes?.encodeToByteArray()?.size ?: 0)
         }
         return changes
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -32,14 +32,14 @@
     private val log: DecisionLog,
 ) {
     /** The nearest host with a newer revision, and the time since which one is known. */
-    private class PeerAhead(val peer: EntryHostProfile, val revision: Long, val since: MonotonicInstant)
+    private class PeerAhead(val peer: EntryHostProfile, val revision: EstateRevision, val since: MonotonicInstant)
 
     private val clients = HashMap<NetworkAddress, HttpServiceClient>()
     private var ahead: PeerAhead? = null
     private var isRequesting = false
 
     /** Records that [peer] has [revision]. */
-    fun onHeartbeat(peer: EntryHostProfile, revision: Long, now: MonotonicInstant) {
+    fun onHeartbeat(peer: EntryHostProfile, revision: EstateRevision, now: MonotonicInstant) {
         val known = estateSync().revision
         val present = ahead?.takeIf { it.revision > known }
         ahead = when {
@@ -59,7 +59,9 @@
         isRequesting = true
         val address = present.peer.peerAddress
         val client = clients.getOrPut(address) { HttpServiceClient(loop, address) }
-        client.call(HttpCall("GET", "$PATH?$AFTER=$known", timeout = TIMEOUT)) { onResult(it, present, known) }
+        client.call(HttpCall("GET", "$PATH?$AFTER=${known.number}&$ERA=${known.era}", timeout = TIMEOUT)) {
+            onResult(it, present, known)
+        }
     }
 
     private fun distance(peer: EntryHostProfile): Int = when {
@@ -68,22 +70,24 @@
         else -> 2
     }
 
-    private fun onResult(result: CallResult, source: PeerAhead, after: Long) {
+    private fun onResult(result: CallResult, source: PeerAhead, after: EstateRevision) {
         isRequesting = false
         val response = result as? CallResult.Answered
         if (response != null && response.status == OK) return estateSync().applyChanges(response.body)
         ahead = null
         log.write(LogPart.STORE, "peer did not tell") {
             put("peer", source.peer.name.value)
-            put("revision", after)
+            put("era", after.era)
+            put("revision", after.number)
             put("reason", response?.status?.toString() ?: result.toString())
         }
     }
 
     internal companion object {
-        /** Path and parameter of the request between hosts. */
+        /** Path and parameters of the request between hosts. */
         const val PATH = "/estate"
         const val AFTER = "after"
+        const val ERA = "era"
         private const val OK = 200
 
         /** Hosts that watch the store get a change within half a second of each other; heartbeats are as frequent. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateSync.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateSync.kt
@@ -6,11 +6,11 @@
  * Implementations are thread-safe. The text format is defined by the adapter of the deployment.
  */
 public interface EstateSync {
-    /** The store revision up to which all changes are known; 0 if none is known. */
-    public val revision: Long
+    /** The store revision up to which all changes are known. */
+    public val revision: EstateRevision
 
     /** All changes after [revision], including deletions; null if none is known. */
-    public fun changesAfter(revision: Long): String?
+    public fun changesAfter(revision: EstateRevision): String?
 
     /** Applies the [changes] received from another host. */
     public fun applyChanges(changes: String)
@@ -19,9 +19,9 @@
     public companion object {
         /** Has no changes and ignores those that it receives. */
         public val NONE: EstateSync = object : EstateSync {
-            override val revision: Long get() = 0
+            override val revision: EstateRevision get() = EstateRevision.NONE
 
-            override fun changesAfter(revision: Long): String? = null
+            override fun changesAfter(revision: EstateRevision): String? = null
 
             override fun applyChanges(changes: String): Unit = Unit
         }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -88,12 +88,13 @@
  * @property isReady whether the sender serves callers.
  * @property intervalMilliseconds time until the next one to the same receiver.
  * @property activity the sender's use of the replicas; null if the receiver does not need it.
- * @property revision store revision up to which the sender knows all changes.
+ * @property revision store revision up to which the sender knows all changes, within [era].
  * @property quarantine what the sender knows of crashed replicas and quarantined prompt parts; null for nothing.
  * @property refusesAccounts whether the sender rejects requests of client accounts.
  * @property leaving replicas that announced to the sender that they are leaving; null for none.
  * @property accounts how much client accounts used at the sender; null for nothing.
  * @property limits the limits that replicas of the sender's region named, and their use; null for nothing.
+ * @property era the era of the store to which [revision] belongs.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -108,7 +109,10 @@
     @CborLabel(8) val accounts: AccountUseMessage? = null,
     @CborLabel(9) val leaving: List<LeavingReplica>? = null,
     @CborLabel(10) val limits: ReplicaLimitMessage? = null,
+    @CborLabel(12) val era: Long = 0,
 ) {
+    val estateRevision: EstateRevision get() = EstateRevision(era, revision)
+
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = CODEC.encodeToByteArray(this)
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -128,17 +128,21 @@
         write(host.peerAddress, heartbeat(interval, activity).copy(limits = limits))
     }
 
-    private fun heartbeat(interval: Duration, activity: Activity?): Heartbeat = Heartbeat(
-        description,
-        local.isReady(),
-        interval.inWholeMilliseconds,
-        activity,
-        local.estate().revision,
-        quarantineMessage,
-        local.refusesAccounts(),
-        local.accounts.message(interval),
-        leaving = ownLeaving().ifEmpty { null },
-    )
+    private fun heartbeat(interval: Duration, activity: Activity?): Heartbeat {
+        val estate = local.estate().revision
+        return Heartbeat(
+            description,
+            local.isReady(),
+            interval.inWholeMilliseconds,
+            activity,
+            estate.number,
+            quarantineMessage,
+            local.refusesAccounts(),
+            local.accounts.message(interval),
+            leaving = ownLeaving().ifEmpty { null },
+            era = estate.era,
+        )
+    }
 
     private fun ownLeaving(): List<LeavingReplica> =
         replicas.leavingToReport(clock.now()).map { LeavingReplica(it.replica.value, it.startedAt) }
@@ -173,7 +177,7 @@
                 put("incarnation", heartbeat.sender.incarnation.value)
             }
         }
-        recovery.onHeartbeat(heartbeat.sender.host, heartbeat.revision, now)
+        recovery.onHeartbeat(heartbeat.sender.host, heartbeat.estateRevision, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
         local.accounts.receive(heartbeat.sender.host, heartbeat.accounts, now)
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -16,6 +16,7 @@
 import org.buckthornwheel.forwarding.fixture.TestManifest
 import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.buckthornwheel.forwarding.membership.EstateRevision
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -188,11 +189,13 @@
         awaitUntil { behind.applied == "changes after 3" }
     }
 
-    private class RecordingEstateSync(override val revision: Long) : EstateSync {
+    private class RecordingEstateSync(revision: Long) : EstateSync {
+        override val revision = EstateRevision(era = 0, revision)
+
         @Volatile
         var applied: String? = null
 
-        override fun changesAfter(revision: Long): String = "changes after $revision"
+        override fun changesAfter(revision: EstateRevision): String = "changes after ${revision.number}"
 
         override fun applyChanges(changes: String) {
             applied = changes
