--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -86,6 +86,7 @@
             heartbeat("heartbeat-quarantine", brief.copy(quarantine = quarantine)) +
             heartbeat("heartbeat-accounts", brief.copy(refusesAccounts = true)) +
             heartbeat("heartbeat-limits", brief.copy(limits = limits)) +
+            heartbeat("heartbeat-era", brief.copy(era = 3)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) } +
