An entry in the copy of a replica that was removed is no return

Cause: an entry with the same count as the last one before the removal was taken for a return, and entries were remembered for 10 s from when they were read, which a copy may exceed. Change: RegistrationOrder counts the 10 s from the return, and takes an entry with the count of one that was removed before for an old one; a live replica writes a higher count.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RegistrationOrder.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RegistrationOrder.kt
@@ -11,7 +11,19 @@
  * thread-safe.
  */
 public class RegistrationOrder {
-    private class Newest(val startedAt: Long, val sequence: Long?, val at: MonotonicInstant)
+    /**
+     * The newest registration of a replica, read at [at].
+     *
+     * @property isGone whether it was removed.
+     * @property isPast whether it was removed before the registrations became older ones, so that it is no return.
+     */
+    private data class Newest(
+        val startedAt: Long,
+        val sequence: Long?,
+        val at: MonotonicInstant,
+        val isGone: Boolean = false,
+        val isPast: Boolean = false,
+    )
 
     private val newest = LinkedHashMap<ReplicaId, Newest>()
 
@@ -27,11 +39,20 @@
         return true
     }
 
+    /** Records that the registration of [replica] was removed. */
+    public fun recordGone(replica: ReplicaId) {
+        newest.computeIfPresent(replica) { _, known -> known.copy(isGone = true) }
+    }
+
+    /** Records that the registrations that are read from [now] on may be those of an earlier time. */
+    public fun recordReturn(now: MonotonicInstant): Unit =
+        newest.replaceAll { _, known -> known.copy(at = now, isPast = known.isGone) }
+
     private fun isOlder(replica: Replica, known: Newest): Boolean = when {
         replica.startedAt != known.startedAt -> replica.startedAt < known.startedAt
         replica.startedAt == Replica.UNKNOWN_START -> false
         replica.sequence == null || known.sequence == null -> false
-        else -> replica.sequence < known.sequence
+        else -> replica.sequence < known.sequence || (known.isPast && replica.sequence == known.sequence)
     }
 
     /** Limits. */
