Hosts compare the versions of their manifests, too

Cause: after a return of the store from a copy, a host that starts reads an older manifest than others have in force, at the same revision as theirs or a higher one, and never asks them. Change: heartbeats carry the version of the manifest in force (field 13); a host whose own stays lower for the catch-up delay asks for everything, and takes the manifest from it whatever the revisions say. A recorded form is added.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -190,6 +190,7 @@
             currency::refusesAccounts,
             AccountSharing(quotas),
             ReplicaLimitSharing(sharedReplicaLimits, replicaLimits, replicas),
+            { routingState.manifest?.version?.value ?: 0 },
         ),
         log,
         clock,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -23,45 +23,48 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Keeps [estateSync] up to date with other hosts. All functions are called on [loop]. */
+/**
+ * Keeps [estateSync] up to date with other hosts. All functions are called on [loop].
+ *
+ * After the store has returned from a copy, a host that starts reads an older manifest than others know, at a revision
+ * that is not behind theirs. So the version of the manifest is compared too.
+ */
 internal class EstateRecovery(
     private val self: EntryHostProfile,
     private val estateSync: () -> EstateSync,
+    private val manifestVersion: () -> Long,
     private val followsPrimaries: () -> Boolean,
     private val loop: EventLoop,
     private val log: DecisionLog,
 ) {
-    /** The nearest host with a newer revision, and the time since which one is known. */
-    private class PeerAhead(val peer: EntryHostProfile, val revision: EstateRevision, val since: MonotonicInstant)
-
     private val clients = HashMap<NetworkAddress, HttpServiceClient>()
-    private var ahead: PeerAhead? = null
+    private val newerRevision = PeerAhead({ estateSync().revision }, ::distance)
+    private val newerManifest = PeerAhead(manifestVersion, ::distance)
     private var isRequesting = false
 
-    /** Records that [peer] has [revision]. */
-    fun onHeartbeat(peer: EntryHostProfile, revision: EstateRevision, now: MonotonicInstant) {
-        val known = estateSync().revision
-        val present = ahead?.takeIf { it.revision > known }
-        ahead = when {
-            revision <= known -> present
-            present == null -> PeerAhead(peer, revision, now)
-            distance(peer) <= distance(present.peer) -> PeerAhead(peer, present.revision, present.since)
-            else -> present
-        }
+    /** Records that [peer] has [revision], and the manifest [version] in force. */
+    fun onHeartbeat(peer: EntryHostProfile, revision: EstateRevision, version: Long, now: MonotonicInstant) {
+        newerRevision.record(peer, revision, now)
+        newerManifest.record(peer, version, now)
     }
 
     /** Requests the missing changes if this host has been behind for long enough. */
     fun check(now: MonotonicInstant) {
-        val known = estateSync().revision
-        val present = ahead?.takeIf { it.revision > known } ?: return
+        if (isRequesting) return
         val delay = if (followsPrimaries()) Duration.ZERO else CATCH_UP_DELAY
-        if (isRequesting || now - present.since < delay) return
+        val byRevision = newerRevision.behindFor(delay, now)
+        if (byRevision != null) return request(byRevision, estateSync().revision)
+        val byManifest = newerManifest.behindFor(CATCH_UP_DELAY, now) ?: return
+        newerManifest.forget()
+        request(byManifest, EstateRevision.NONE)
+    }
+
+    private fun request(peer: EntryHostProfile, after: EstateRevision) {
         isRequesting = true
-        val address = present.peer.peerAddress
+        val address = peer.peerAddress
         val client = clients.getOrPut(address) { HttpServiceClient(loop, address) }
-        client.call(HttpCall("GET", "$PATH?$AFTER=${known.number}&$ERA=${known.era}", timeout = TIMEOUT)) {
-            onResult(it, present, known)
-        }
+        val uri = "$PATH?$AFTER=${after.number}&$ERA=${after.era}"
+        client.call(HttpCall("GET", uri, timeout = TIMEOUT)) { onResult(it, peer, after) }
     }
 
     private fun distance(peer: EntryHostProfile): Int = when {
@@ -70,13 +73,13 @@
         else -> 2
     }
 
-    private fun onResult(result: CallResult, source: PeerAhead, after: EstateRevision) {
+    private fun onResult(result: CallResult, source: EntryHostProfile, after: EstateRevision) {
         isRequesting = false
         val response = result as? CallResult.Answered
         if (response != null && response.status == OK) return estateSync().applyChanges(response.body)
-        ahead = null
+        newerRevision.forget()
         log.write(LogPart.STORE, "peer did not tell") {
-            put("peer", source.peer.name.value)
+            put("peer", source.name.value)
             put("era", after.era)
             put("revision", after.number)
             put("reason", response?.status?.toString() ?: result.toString())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/Heartbeat.kt
@@ -95,6 +95,7 @@
  * @property accounts how much client accounts used at the sender; null for nothing.
  * @property limits the limits that replicas of the sender's region named, and their use; null for nothing.
  * @property era the era of the store to which [revision] belongs.
+ * @property manifestVersion version of the sender's manifest in force; 0 if it has none.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -110,6 +111,7 @@
     @CborLabel(9) val leaving: List<LeavingReplica>? = null,
     @CborLabel(10) val limits: ReplicaLimitMessage? = null,
     @CborLabel(12) val era: Long = 0,
+    @CborLabel(13) val manifestVersion: Long = 0,
 ) {
     val estateRevision: EstateRevision get() = EstateRevision(era, revision)
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -31,8 +31,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision, the
- * quarantine, the use of accounts, and the limits of replicas.
+ * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision and the
+ * version of its manifest, the quarantine, the use of accounts, and the limits of replicas.
  */
 internal class LocalHostState(
     val isReady: () -> Boolean,
@@ -41,6 +41,7 @@
     val refusesAccounts: () -> Boolean,
     val accounts: AccountSharing,
     val limits: ReplicaLimitSharing,
+    val manifestVersion: () -> Long,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -64,7 +65,14 @@
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
             .handler(Receiver())
             .bind(InetSocketAddress(self.peerAddress.host, self.peerAddress.port)).sync().channel()
-        recovery = EstateRecovery(self, local.estate, { hosts.followsPrimaries(clock.now()) }, channel.eventLoop(), log)
+        recovery = EstateRecovery(
+            self,
+            local.estate,
+            local.manifestVersion,
+            { hosts.followsPrimaries(clock.now()) },
+            channel.eventLoop(),
+            log,
+        )
         channel.eventLoop().scheduleWithFixedDelay(::sendAndLogFailure, 0, INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
@@ -141,6 +149,7 @@
             local.accounts.message(interval),
             leaving = ownLeaving().ifEmpty { null },
             era = estate.era,
+            manifestVersion = local.manifestVersion(),
         )
     }
 
@@ -177,7 +186,7 @@
                 put("incarnation", heartbeat.sender.incarnation.value)
             }
         }
-        recovery.onHeartbeat(heartbeat.sender.host, heartbeat.estateRevision, now)
+        recovery.onHeartbeat(heartbeat.sender.host, heartbeat.estateRevision, heartbeat.manifestVersion, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
         local.accounts.receive(heartbeat.sender.host, heartbeat.accounts, now)
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -87,6 +87,7 @@
             heartbeat("heartbeat-accounts", brief.copy(refusesAccounts = true)) +
             heartbeat("heartbeat-limits", brief.copy(limits = limits)) +
             heartbeat("heartbeat-era", brief.copy(era = 3)) +
+            heartbeat("heartbeat-manifest", brief.copy(manifestVersion = 11)) +
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) } +
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -189,6 +189,16 @@
         awaitUntil { behind.applied == "changes after 3" }
     }
 
+    /** Guards against a host that has read an older manifest from a store that returned from a copy. */
+    @Test
+    fun `a host whose manifest stays older than another host's fetches all items, whatever the revisions`() {
+        val behind = RecordingEstateSync(revision = 8)
+        south.process.estate = behind
+        north.process.estate = RecordingEstateSync(revision = 3)
+        north.process.routingState.updateManifest(TestManifest.of(version = 2))
+        awaitUntil { behind.applied == "changes after 0" }
+    }
+
     private class RecordingEstateSync(revision: Long) : EstateSync {
         override val revision = EstateRevision(era = 0, revision)
 
