SendPermission: what an attempt needs until its connection is open

The checks before a request is written, and what it took of pace and limit, move to a class of their own; no change in what they decide. Measured: tests of restarts, limits, leaving, homes, failures and pauses of the forwarding module (x86-64).

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpVersion
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
-import org.buckthornwheel.decision.entry.KnownEntryHosts
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.buckthornwheel.decision.replica.ReplicaAttemptResult
@@ -27,7 +26,6 @@
 import org.buckthornwheel.forwarding.dialect.ResponseMetadata
 import org.buckthornwheel.forwarding.observability.LogPart
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** An attempt that sends a request to a replica of this host's region. */
 internal class ReplicaAttempt(
@@ -35,7 +33,7 @@
     private val proxiedRequest: ProxiedRequest,
     private val state: ReplicaState,
     private val decision: PlacementDecision.Local,
-    private var claim: ReplicaClaim,
+    claim: ReplicaClaim,
     private val permit: RetryPermit,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
@@ -47,8 +45,8 @@
         prefillTokens = decision.missingTokens.toLong(),
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
+    private val permission = SendPermission(context, proxiedRequest, state, decision.replica, claim)
     private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id, startedAt)
-    private var holdsColdRequest = false
     private var connection: TargetConnection? = null
     private var isFramed = false
     private var relay: ResponseRelay? = null
@@ -70,7 +68,7 @@
     val elapsed: Duration get() = context.clock.now() - startedAt
 
     fun start(pool: TargetPool, headers: HttpHeaders, request: ReceivedRequest, lastEventId: String?) {
-        holdsColdRequest = state.recordStart(work, proxiedRequest.metadata.parts, coldPause(), startedAt)
+        permission.recordStart(work, startedAt)
         context.reads.add(decision.replica.id, proxiedRequest.metadata.parts, startedAt)
         log("sent") {
             proxiedRequest.describePlacement(this)
@@ -167,7 +165,7 @@
         headers: HttpHeaders,
         request: ReceivedRequest,
     ) {
-        val reason = if (isEnded) null else withdrawalReason()
+        val reason = if (isEnded) null else permission.refusal(context.clock.now())
         if (reason == null) return send(opened, headers, request)
         pool.release(opened)
         end(ReplicaAttemptResult.ABANDONED)
@@ -175,29 +173,6 @@
         proxiedRequest.onNotSent(this, decision.replica.id, null)
     }
 
-    private fun withdrawalReason(): String? {
-        val now = context.clock.now()
-        val announcement = state.restriction(now)?.takeIf { it.isAnnouncement }
-        return when {
-            announcement != null -> announcement.source
-            !proxiedRequest.homes.permit(decision.replica.region) -> "outside the home regions in force"
-            !holdsColdRequest && !mayUseCold(now) -> "cold"
-            claim.isLimited || takeOfLimit(now) -> null
-            else -> "limited"
-        }
-    }
-
-    /** Takes a request of the limit that the replica named while the connection was opened, if it did. */
-    private fun takeOfLimit(now: MonotonicInstant): Boolean {
-        val verdict = context.limits.take(state, run, isRepeated = false, now)
-        if (verdict is LimitVerdict.Granted) claim = verdict.claim
-        return verdict is LimitVerdict.Granted
-    }
-
-    /** Whether the request may be sent to a replica that has become cold, or doubted, since the request was placed. */
-    private fun mayUseCold(now: MonotonicInstant): Boolean = !state.coldness.isCold(now) ||
-        (context.placement.permitsCold(decision.replica, now) && state.coldness.takeRequest(coldPause(), now))
-
     private fun send(newConnection: TargetConnection, headers: HttpHeaders, request: ReceivedRequest) {
         if (isEnded) {
             context.log.write(LogPart.REQUEST, "connection unused") { put("request", proxiedRequest.metadata.id.value) }
@@ -293,7 +268,7 @@
     private fun end(result: ReplicaAttemptResult) {
         isEnded = true
         if (!isSent) {
-            claim.giveBack()
+            permission.giveBack()
             permit.giveBack()
         }
         val now = context.clock.now()
@@ -302,14 +277,6 @@
         context.queues.onAttemptEnded(proxiedRequest.policy, isAnswered, now - startedAt, now)
     }
 
-    /** Minimum interval between this host's requests to a cold replica; several hosts of the region share the rate. */
-    private fun coldPause(): Duration {
-        val rate =
-            context.routingState.manifest?.services?.get(proxiedRequest.policy.service)?.coldRequestsPerSecond ?: 0.0
-        if (rate <= 0) return Duration.ZERO
-        return 1.seconds * (KnownEntryHosts.COLD_REPLICA_HOSTS / rate)
-    }
-
     private fun log(event: String, fields: kotlinx.serialization.json.JsonObjectBuilder.() -> Unit) {
         context.log.write(LogPart.REQUEST, event) {
             put("request", proxiedRequest.metadata.id.value)
