A host that cannot read a newer manifest asks for it ever more rarely

Cause: a host whose manifest is older than another host's fetches the whole estate after 1.2 s. If that does not help, as with a manifest that it cannot read, it fetched everything again every 1.2 to 1.7 s, without end. Change: the delay doubles with each answer, up to a minute. It is 1.2 s again once a higher version is heard of, or this host's own changes. A request that fails leaves it as it is.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -21,6 +21,7 @@
 import org.buckthornwheel.forwarding.observability.LogPart
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -40,12 +41,14 @@
     private val clients = HashMap<NetworkAddress, HttpServiceClient>()
     private val newerRevision = PeerAhead({ estateSync().revision }, ::distance)
     private val newerManifest = PeerAhead(manifestVersion, ::distance)
+    private val manifestDelay = CatchUpDelay(CATCH_UP_DELAY, LONGEST_MANIFEST_DELAY)
     private var isRequesting = false
 
     /** Records that [peer] has [revision], and the manifest [version] in force. */
     fun onHeartbeat(peer: EntryHostProfile, revision: EstateRevision, version: Long, now: MonotonicInstant) {
         newerRevision.record(peer, revision, now)
         newerManifest.record(peer, version, now)
+        manifestDelay.record(version)
     }
 
     /** Requests the missing changes if this host has been behind for long enough. */
@@ -54,17 +57,20 @@
         val delay = if (followsPrimaries()) Duration.ZERO else CATCH_UP_DELAY
         val byRevision = newerRevision.behindFor(delay, now)
         if (byRevision != null) return request(byRevision, estateSync().revision)
-        val byManifest = newerManifest.behindFor(CATCH_UP_DELAY, now) ?: return
+        val byManifest = newerManifest.behindFor(manifestDelay.of(manifestVersion()), now) ?: return
         newerManifest.forget()
-        request(byManifest, EstateRevision.NONE)
+        request(byManifest, EstateRevision.NONE, onAnswer = manifestDelay::recordAnswer)
     }
 
-    private fun request(peer: EntryHostProfile, after: EstateRevision) {
+    private fun request(peer: EntryHostProfile, after: EstateRevision, onAnswer: () -> Unit = {}) {
         isRequesting = true
         val address = peer.peerAddress
         val client = clients.getOrPut(address) { HttpServiceClient(loop, address) }
         val uri = "$PATH?$AFTER=${after.number}&$ERA=${after.era}"
-        client.call(HttpCall("GET", uri, timeout = TIMEOUT)) { onResult(it, peer, after) }
+        client.call(HttpCall("GET", uri, timeout = TIMEOUT)) { result ->
+            if (result is CallResult.Answered && result.status == OK) onAnswer()
+            onResult(result, peer, after)
+        }
     }
 
     private fun distance(peer: EntryHostProfile): Int = when {
@@ -95,6 +101,9 @@
 
         /** Hosts that watch the store get a change within half a second of each other; heartbeats are as frequent. */
         private val CATCH_UP_DELAY = 1_200.milliseconds
+
+        /** A host that cannot read a newer manifest fetches the whole estate, which may be a megabyte, each time. */
+        private val LONGEST_MANIFEST_DELAY = 1.minutes
         private val TIMEOUT = 2.seconds
     }
 }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -22,9 +22,11 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.seconds
 
 internal class PeerForwardingTest {
@@ -199,13 +201,33 @@
         awaitUntil { behind.applied == "changes after 0" }
     }
 
+    /** Guards against requests without end by a host that cannot read the newer manifest. */
+    @Test
+    fun `a host that cannot apply a newer manifest asks for it ever more rarely, and soon for the next one`() {
+        val source = RecordingEstateSync(revision = 3)
+        south.process.estate = RecordingEstateSync(revision = 8)
+        north.process.estate = source
+        north.process.routingState.updateManifest(TestManifest.of(version = 2))
+        awaitUntil { source.requests.get() == 1 }
+        Thread.sleep(8_000)
+        expectThat(source.requests.get()).isLessThanOrEqualTo(3)
+        north.process.routingState.updateManifest(TestManifest.of(version = 3))
+        val requests = source.requests.get()
+        awaitUntil { source.requests.get() > requests }
+    }
+
     private class RecordingEstateSync(revision: Long) : EstateSync {
         override val revision = EstateRevision(era = 0, revision)
 
         @Volatile
         var applied: String? = null
 
-        override fun changesAfter(revision: EstateRevision): String = "changes after ${revision.number}"
+        val requests = AtomicInteger()
+
+        override fun changesAfter(revision: EstateRevision): String {
+            requests.incrementAndGet()
+            return "changes after ${revision.number}"
+        }
 
         override fun applyChanges(changes: String) {
             applied = changes
