The port of a replica that starts again is free, and stays so

Cause: ScriptedReplica.close() returned while its thread still waited in accept(). The system keeps the socket listening until that thread has left the call, so a bind to the same port just after it fails.

Besides, the test holds the port between two runs, so that no outgoing connection gets it.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartBeforeRegistrationTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartBeforeRegistrationTest.kt
@@ -14,6 +14,7 @@
 import org.buckthornwheel.forwarding.fixture.TestDialect
 import org.buckthornwheel.forwarding.fixture.awaitUntil
 import org.buckthornwheel.forwarding.fixture.signedResponse
+import org.buckthornwheel.forwarding.listener.ReservedLoopbackPort
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -29,14 +30,17 @@
 internal class RestartBeforeRegistrationTest {
     private val resources = ArrayList<Closeable>()
     private val host = RunningHost(coldRequestsPerSecond = COLD_PER_SECOND).also { resources += it }
+
+    /** Held between two runs, too, so that no outgoing connection takes it. */
+    private val port = ReservedLoopbackPort().also { resources += it }
     private val arrivals = CopyOnWriteArrayList<MonotonicInstant>()
     private val bursts = RequestBursts(host)
 
     @AfterEach
     fun close() = resources.forEach { it.close() }
 
-    /** A run of the replica, which started at [startedAt], at [port] or at any if that is 0. */
-    private fun run(startedAt: Long, port: Int = 0, speaks: Boolean = true): ScriptedReplica =
+    /** A run of the replica, which started at [startedAt]. */
+    private fun run(startedAt: Long, speaks: Boolean = true): ScriptedReplica =
         ScriptedReplica(port = port) { respond(it, startedAt, speaks) }.also { resources += it }
 
     private fun ReplicaConnection.respond(request: RecordedRequest, startedAt: Long, speaks: Boolean) {
@@ -75,7 +79,7 @@
         burst(WARM)
         crash(first)
         arrivals.clear()
-        run(startedAt = 2, port = first.address.port)
+        run(startedAt = 2)
         load(milliseconds = 2_500)
         expectThat(worstSecond(arrivals)).isLessThanOrEqualTo(ALLOWED)
         expectThat(arrivals.size).describedAs("use of what the rate allows").isGreaterThanOrEqualTo(SHARE)
@@ -88,7 +92,7 @@
         burst(WARM)
         crash(first)
         arrivals.clear()
-        run(startedAt = 2, port = first.address.port, speaks = false)
+        run(startedAt = 2, speaks = false)
         load(milliseconds = 2_500)
         expectThat(worstSecond(arrivals)).isLessThanOrEqualTo(ALLOWED)
     }
@@ -112,7 +116,7 @@
         burst(WARM)
         host.add("r1", second, startedAt = 2)
         second.close()
-        run(startedAt = 3, port = second.address.port)
+        run(startedAt = 3)
         Thread.sleep(SIGN_MILLISECONDS)
         arrivals.clear()
         burst(ALLOWED * 2)
@@ -134,7 +138,7 @@
         val first = run(startedAt = 1)
         host.add("r1", first, startedAt = 1)
         crash(first)
-        run(startedAt = 2, port = first.address.port)
+        run(startedAt = 2)
         awaitUntil(20.seconds) { burst(WARM) == WARM }
     }
 
