Two losses of idle connections that agree by chance are no idle timeout

For callers: a host whose connections were idle when a replica ended took that for an idle timeout of the replica, and went on as with the warm run.

Cause: a loss counted as a timeout when the connection had been idle for within 25% of the idle time of the one before, a single earlier loss.

Change: IdleTimeoutEstimate assumes a timeout from the third loss on that agrees; connections that are lost together count as one loss. A replica with an idle timeout is asked once more than before.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -20,6 +20,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.decision.attempt.IdleLimit
+import org.buckthornwheel.decision.attempt.IdleTimeoutEstimate
 import org.buckthornwheel.decision.memory.MemoryBudget
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
 import java.net.BindException
@@ -55,10 +56,7 @@
 
     /** The open connections, from the oldest to the newest. */
     private val connections = HashMap<TargetKey, LinkedHashSet<TargetConnection>>()
-    private val idleLosses = HashMap<TargetKey, IdleLoss>()
-
-    /** The last loss of a connection that had been idle for [idle], at [at]. */
-    private class IdleLoss(val idle: Duration, val at: MonotonicInstant)
+    private val idleTimeouts = HashMap<TargetKey, IdleTimeoutEstimate>()
 
     /** Calls [use] with an open connection, or [fail] with the reason if none can be opened. */
     fun acquire(key: TargetKey, use: (TargetConnection) -> Unit, fail: (ConnectFailure) -> Unit) {
@@ -89,15 +87,11 @@
         if (isBusy || (isOldest && !isTimeout(connection))) onSignOfEnd(this, connection.key, "connection lost")
     }
 
-    /**
-     * Whether the target probably closed the idle [connection] after its idle timeout, which it need not announce: the
-     * last one that it closed had been idle for about as long.
-     */
+    /** Whether the target probably closed the idle [connection] after its idle timeout. */
     private fun isTimeout(connection: TargetConnection): Boolean {
         val now = clock.now()
         val idle = now - (connection.idleSince ?: return false)
-        val last = idleLosses.put(connection.key, IdleLoss(idle, now))?.idle ?: return false
-        return idle >= last * (1 - IDLE_TIMEOUT_VARIATION) && idle <= last * (1 + IDLE_TIMEOUT_VARIATION)
+        return idleTimeouts.getOrPut(connection.key, ::IdleTimeoutEstimate).recordLoss(idle, now)
     }
 
     fun remove(connection: TargetConnection) {
@@ -116,7 +110,7 @@
             old.forEach { it.close() }
         }
         idle.values.removeIf { it.isEmpty() }
-        idleLosses.values.removeIf { now - it.at > IDLE_LOSS_VALIDITY }
+        idleTimeouts.values.removeIf { it.isOutdated(now) }
     }
 
     /** The most recently used connection, since it is the least likely to have been closed by the target. */
@@ -188,11 +182,5 @@
 
         /** Subtracted from the announced idle timeout, so that the target does not close the connection first. */
         val IDLE_MARGIN = 500.milliseconds
-
-        /** Largest difference between the idle times of two connections that ended by the same timeout, as a share. */
-        const val IDLE_TIMEOUT_VARIATION = 0.25
-
-        /** Time for which a loss is remembered; targets that are used less often are asked again. */
-        val IDLE_LOSS_VALIDITY = 60.seconds
     }
 }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -98,6 +98,20 @@
         expectFullUse()
     }
 
+    @Test
+    fun `two losses after the same idle time are both signs of the end of a run`() {
+        val replica = replica { run(1) }
+        host.add("r1", replica, startedAt = 1)
+        repeat(2) {
+            Thread.sleep(QUIET_MILLISECONDS)
+            val earlier = inquiries.get()
+            burst(FULL)
+            Thread.sleep(IDLE_MILLISECONDS)
+            replica.resetConnections()
+            awaitUntil { inquiries.get() > earlier }
+        }
+    }
+
     @Test
     fun `a replica that closes idle connections is not asked after each`() {
         host.add("r1", replica(afterwards = ::closeLater) { run(1) }, startedAt = 1)
@@ -122,5 +136,9 @@
         /** A cold replica gets the last of these requests two and a half seconds after the first one. */
         val PACED_TIME = 2.seconds
         const val FULL = 6
+        const val IDLE_MILLISECONDS = 300L
+
+        /** Longer than the last inquiry takes to end. */
+        const val QUIET_MILLISECONDS = 300L
     }
 }
