A stopping host's listener is closed as soon as its last connection is accepted

Cause: after the last accept the channel was closed, but a socket that a selector holds stays open until the next selection. The system goes on establishing connections meanwhile, and resets them then.

Change: the listener is deregistered from the selector first; connections wait in the queue of the system meanwhile. Then all are accepted, and the socket is closed at once. What is left is the time between the last accept and the close, in which nothing else runs.

OpenListenerTest, AcceptQueueTest, ShutdownUnderLoadTest, ShutdownTest and StoppingPeerTest pass.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/Listeners.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import org.buckthornwheel.api.NetworkAddress
 import org.buckthornwheel.forwarding.front.InboundConnection
 import org.buckthornwheel.forwarding.limits.ConnectionGroup
@@ -45,7 +44,7 @@
         buffers: RecvByteBufAllocator,
         initialize: (SocketChannel) -> Unit,
     ): OpenListener {
-        val bootstrap = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+        val bootstrap = ServerBootstrap().group(group).channel(ListeningChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, OpenListener.BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(
@@ -61,7 +60,7 @@
         KeepAliveOptions.set { option, value -> bootstrap.childOption(option, value) }
         val channel = bootstrap.bind(InetSocketAddress(address.host, address.port)).sync().channel()
         connections.listener = channel
-        return OpenListener(channel as NioServerSocketChannel)
+        return OpenListener(channel as ListeningChannel)
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
@@ -1,15 +1,32 @@
 package org.buckthornwheel.forwarding.listener
 
 import io.netty.channel.ServerChannelRecvByteBufAllocator
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.util.concurrent.Future
+import io.netty.util.concurrent.Promise
+import java.util.concurrent.TimeUnit
 
 /** A listener that accepts connections until it is closed. */
-internal class OpenListener(private val channel: NioServerSocketChannel) {
-    /** Accepts the established connections, which closing the listener would reset, and closes it. */
-    fun acceptAllAndClose(): Future<*> = channel.eventLoop().submit {
+internal class OpenListener(private val channel: ListeningChannel) {
+    /**
+     * Accepts the established connections, which closing the listener would reset, and closes it.
+     *
+     * The selector lets go of the socket first. Otherwise it stays open until the next selection, and connections that
+     * are established meanwhile are reset.
+     */
+    fun acceptAllAndClose(): Future<*> {
+        val closed = channel.eventLoop().newPromise<Unit>()
+        channel.deregister().addListener { closeOnceUnselected(closed) }
+        return closed
+    }
+
+    private fun closeOnceUnselected(closed: Promise<Unit>) {
+        if (channel.isSelected) {
+            channel.eventLoop().schedule({ closeOnceUnselected(closed) }, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
+            return
+        }
         repeat(BACKLOG / acceptedAtOnce()) { channel.unsafe().read() }
         channel.close()
+        closed.setSuccess(Unit)
     }
 
     private fun acceptedAtOnce(): Int {
@@ -20,5 +37,6 @@
     companion object {
         /** Number of established connections that may wait to be accepted. */
         const val BACKLOG: Int = 1_024
+        private const val CHECK_MILLISECONDS = 1L
     }
 }
