StoppingPeerTest starts the other host before the request that it takes over

Cause: the test starts its third host after it has sent the request, whose 4 s then cover the start of a host, the 3 s of the stop, and the second attempt.

Change: the host is started first, but is not ready until the request is in progress, as before: it knows no replica. What is sent and what is checked is unchanged.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/host/StoppingPeerTest.kt
@@ -44,7 +44,16 @@
     private fun now() = MonotonicClock.SYSTEM.now()
 
     private fun startOther(zone: String) {
+        openOther(zone)
+        awaitOther()
+    }
+
+    /** Starts a host that is not ready, as it knows no replica. */
+    private fun openOther(zone: String) {
         hosts += RunningHost("south-2", "south", seeds + stopping.self.peerAddress, zone = zone)
+    }
+
+    private fun awaitOther() {
         hosts.forEach { it.add("s1", replica, region = "south") }
         awaitUntil { north.process.hosts.ready(now()).size == 2 }
     }
@@ -88,10 +97,11 @@
     fun `an idempotent request in progress at the end of a stopping host is run through another host`() {
         hosts.forEach { it.add("s1", replica, region = "south") }
         awaitUntil { north.process.hosts.ready(now()).size == 1 }
+        openOther(zone = "south-a")
         val caller = north.caller()
         caller.request("GET", "/read/held", "q1")
         awaitUntil { replica.requests.size == 1 }
-        startOther(zone = "south-a")
+        awaitOther()
         stop = thread {
             stopping.process.stop()
             release.countDown()
