A listener that has stopped accepting is closed, too

Found in review of: a host that is stopped while its listener accepts nothing, since it has as many connections as it may have, left the listener open. The system went on establishing connections, which were reset at the end of the process, and the last part of the stop was cut short.

Cause: a deregistered channel cannot be read while its automatic reading is off; the read threw, and neither the close nor the completion followed.

Evidence: the new case of OpenListenerTest was red (the close did not complete within 5 s).

Change: ListeningChannel accepts the established connections itself, and the close follows in any case.

OpenListenerTest, AcceptQueueTest, ShutdownTest, ShutdownUnderLoadTest and StoppingPeerTest pass.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/OpenListener.kt
@@ -1,6 +1,5 @@
 package org.buckthornwheel.forwarding.listener
 
-import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.util.concurrent.Future
 import io.netty.util.concurrent.Promise
 import java.util.concurrent.TimeUnit
@@ -24,14 +23,12 @@
             channel.eventLoop().schedule({ closeOnceUnselected(closed) }, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
             return
         }
-        repeat(BACKLOG / acceptedAtOnce()) { channel.unsafe().read() }
-        channel.close()
-        closed.setSuccess(Unit)
-    }
-
-    private fun acceptedAtOnce(): Int {
-        val buffers = channel.config().getRecvByteBufAllocator<ServerChannelRecvByteBufAllocator>()
-        return buffers.maxMessagesPerRead()
+        try {
+            channel.acceptEstablished(BACKLOG)
+        } finally {
+            channel.close()
+            closed.setSuccess(Unit)
+        }
     }
 
     companion object {
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/listener/OpenListenerTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/listener/OpenListenerTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.assertThrows
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import java.net.ConnectException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -69,6 +70,18 @@
         sockets.forEach { it.close() }
     }
 
+    /** Guards against a listener that stayed open since it had as many connections as it may have. */
+    @Test
+    fun `a listener that has stopped accepting is closed too`() {
+        channel.config().isAutoRead = false
+        val established = Socket(address.address, address.port)
+        expectThat(listener.acceptAllAndClose().await(5, TimeUnit.SECONDS)).isTrue()
+        loops.submit {}.await()
+        expectThat(accepted.get()).isEqualTo(1)
+        assertThrows<ConnectException> { Socket(address.address, address.port).close() }
+        established.close()
+    }
+
     private companion object {
         const val CONNECTIONS = 100
     }
