A registration that arrives late does not end the doubt about a later run

Found in review. For callers: a replica starts again twice while its entries are late (store away, or this host cut off). The host has learned from the replica itself that its third run answers and is cold; then the entry of the second run arrives, and the third one is used as a warm one (FAILBACK).

Cause: any registration of another run cleared what was known of a later run that had answered.

Evidence: the first new case of RestartedReplicaTest was red (not cold a second later).

Change: what a later run has answered stays until that run is registered or has warmed up. The second new case shows that the registration of the run that answered still tells how long it is cold.

RestartedReplicaTest passes.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -19,7 +19,7 @@
     internal fun register(newStart: Long, coldUntil: MonotonicInstant?): Unit = synchronized(lock) {
         if (newStart != startedAt) {
             startedAt = newStart
-            doubt.clear()
+            doubt.register(newStart)
             pace.awaitUnpaced()
         }
         if (coldUntil != null) extend(coldUntil)
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -49,8 +49,13 @@
         return true
     }
 
-    /** Forgets the doubt, since the registration of another run has arrived. */
-    fun clear() {
+    /** Forgets the doubt, since the run which started at [run] is registered, unless a later one has answered. */
+    fun register(run: Long) {
+        val answering = laterRun
+        if (answering == null || answering <= run) clear()
+    }
+
+    private fun clear() {
         signAt = null
         until = null
         laterRun = null
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -12,7 +12,9 @@
 import org.buckthornwheel.decision.quarantine.ReplicaRun
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isFalse
 import strikt.assertions.isNull
+import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.seconds
 
 internal class RestartedReplicaTest {
@@ -53,4 +55,25 @@
         register(startedAt = 2)
         expectThat(registry.find(id)?.restriction(start + 5.seconds)).isNull()
     }
+
+    private fun coldness() = checkNotNull(registry.find(id)).coldness
+
+    /** The third run answered an inquiry while the store was unavailable, before the second one's entry was read. */
+    @Test
+    fun `the registration of a run does not make a later one count as warm that has answered already`() {
+        register(startedAt = 1)
+        coldness().recordSignOfEnd(run = 1, start)
+        coldness().recordRestart(run = 1, answering = 3, start, warmAt = start + 3.seconds)
+        register(startedAt = 2)
+        expectThat(coldness().isCold(start + 1.seconds)).isTrue()
+    }
+
+    @Test
+    fun `the registration of the run that has answered tells how long it is cold`() {
+        register(startedAt = 1)
+        coldness().recordSignOfEnd(run = 1, start)
+        coldness().recordRestart(run = 1, answering = 2, start, warmAt = start + 3.seconds)
+        register(startedAt = 2)
+        expectThat(coldness().isCold(start + 1.seconds)).isFalse()
+    }
 }
