Requests just before a restart count although the registration ended between

Found in review. For callers: a host sends requests to a new run under the old registration, which expires, or is deleted, just before the new one is written. The cold replica then gets this host's paced requests on top of those (FAILBACK).

Cause: a run that is registered after a removal started with a new state, which knew nothing of the unpaced requests.

Evidence: the new case of RestartedReplicaTest was red (a request was due half a second after the last unpaced one).

Change: the new state takes over the time of the last unpaced request. Attempts that were placed before the removal still hold the former state.

RestartedReplicaTest passes, with the other Replica*Test of the module.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
@@ -7,7 +7,10 @@
 /** Paces this host's requests to a replica while it is cold, or may be. Not thread-safe. */
 internal class ColdPace {
     private var nextAt: MonotonicInstant? = null
-    private var lastUnpacedAt: MonotonicInstant? = null
+
+    /** Time of the last request to the replica while it counted as warm. */
+    var lastUnpacedAt: MonotonicInstant? = null
+        private set
 
     /** Whether the interval after the last request is over. */
     fun permits(now: MonotonicInstant): Boolean = nextAt?.let { now >= it } ?: true
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -35,14 +35,22 @@
 
     /** Adds or updates [replica] and marks it as cold until [coldUntil], if given. */
     public fun put(replica: Replica, tokenCapacity: Long, coldUntil: MonotonicInstant?) {
-        val earlier = removed.take(replica.id)?.takeIf { it.current.startedAt == replica.startedAt }
-        val state = states[replica.id] ?: earlier ?: ReplicaState(replica, tokenCapacity)
+        val state = states[replica.id] ?: stateAfterRemoval(replica, tokenCapacity)
         state.register(replica, tokenCapacity, coldUntil)
         states[replica.id] = state
         applyLeaving(state)
         rebuildIndex()
     }
 
+    /** The state of [replica], which continues if its registration ended and the same run is registered again. */
+    private fun stateAfterRemoval(replica: Replica, tokenCapacity: Long): ReplicaState {
+        val earlier = removed.take(replica.id)
+        if (earlier?.current?.startedAt == replica.startedAt) return earlier
+        val state = ReplicaState(replica, tokenCapacity)
+        earlier?.let { state.coldness.follow(it.coldness) }
+        return state
+    }
+
     /** A run that is registered as leaving does not return, although its registration may say ready again. */
     private fun applyLeaving(state: ReplicaState) {
         val replica = state.current
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -76,4 +76,15 @@
         register(startedAt = 2)
         expectThat(coldness().isCold(start + 1.seconds)).isFalse()
     }
+
+    /** The entry of the run before has expired, or was deleted, before the new one was written. */
+    @Test
+    fun `requests sent just before a restart count although the registration ended in between`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start)
+        registry.remove(id)
+        registry.put(replica(startedAt = 2), 0, coldUntil = start + 3.seconds)
+        expectThat(coldness().permitsRequest(start + 0.5.seconds)).isFalse()
+        expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
+    }
 }
