A replica that is slow to say which run it is is asked with more patience

Found in review. For callers: a live replica that has lost connections and takes longer than half a second to say which run it is got the requests of a cold one, and was asked about once a second, both without end.

Cause: each inquiry waits for the same 500 ms, and one without an answer is a new sign of the end of the run.

Evidence: the new case of DoubtedRunTest was red: 1 of 6 requests answered at once, 2.8 s after the loss, by a replica that answers in 700 ms.

Change: the timeout doubles with each inquiry without an answer, up to 2 s. A replica that takes longer still is paced without end.

DoubtedRunTest and RestartBeforeRegistrationTest pass.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -69,6 +69,7 @@
     ) {
         private var usesPooled = false
         private var pause = FIRST_PAUSE
+        private var timeout = FIRST_TIMEOUT
         private var unclearAnswers = 0
 
         fun ask() {
@@ -76,10 +77,10 @@
             val sentAt = clock.now()
             val pooled = if (usesPooled) pool.takeIdle(key) else null
             if (pooled != null) {
-                return PooledCall(pooled, dialect, TIMEOUT) { onResult(it, sentAt) }.send(path, state.current.address)
+                return PooledCall(pooled, dialect, timeout) { onResult(it, sentAt) }.send(path, state.current.address)
             }
             val client = HttpServiceClient(pool.loop, state.current.address)
-            client.call(HttpCall("GET", path, timeout = TIMEOUT)) { result ->
+            client.call(HttpCall("GET", path, timeout = timeout)) { result ->
                 client.close()
                 onResult(result, sentAt)
             }
@@ -104,7 +105,9 @@
         private fun isUnclear(response: CallResult.Answered): Boolean =
             response.status == OK || response.status == TOO_MANY_REQUESTS || response.status >= FIRST_SERVER_ERROR
 
+        /** A replica may be too busy to answer in time. */
         private fun onSilence() {
+            timeout = minOf(timeout * 2, LONGEST_TIMEOUT)
             state.coldness.recordSignOfEnd(run.startedAt, clock.now())
             askLater()
         }
@@ -147,7 +150,8 @@
         const val MAXIMUM_UNCLEAR_ANSWERS = 4
 
         /** A replica of the same region answers within milliseconds. */
-        val TIMEOUT: Duration = 500.milliseconds
+        val FIRST_TIMEOUT: Duration = 500.milliseconds
+        val LONGEST_TIMEOUT: Duration = 2_000.milliseconds
         val FIRST_PAUSE = 50.milliseconds
         val LONGEST_PAUSE = 400.milliseconds
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/DoubtedRunTest.kt
@@ -83,6 +83,20 @@
         expectFullUse()
     }
 
+    /** Guards against a live replica that is paced as a cold one without end. */
+    @Test
+    fun `a replica that is slow to say which run it is is fully used again`() {
+        val replica = replica {
+            Thread.sleep(SLOW_MILLISECONDS)
+            run(1)
+        }
+        host.add("r1", replica, startedAt = 1)
+        burst(FULL)
+        replica.resetConnections()
+        Thread.sleep(SLOW_MILLISECONDS * 4)
+        expectFullUse()
+    }
+
     @Test
     fun `a later run that has warmed up and loses connections is fully used before its registration arrives`() {
         val replica = replica { run(2) }
@@ -137,6 +151,7 @@
         val PACED_TIME = 2.seconds
         const val FULL = 6
         const val IDLE_MILLISECONDS = 300L
+        const val SLOW_MILLISECONDS = 700L
 
         /** Longer than the last inquiry takes to end. */
         const val QUIET_MILLISECONDS = 300L
