--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -68,13 +68,8 @@
      * after the store was unavailable.
      */
     public fun markZoneCold(zone: ZoneName, now: MonotonicInstant) {
-        for (state in states.values) {
-            if (state.current.zone ==
-                zone
-            ) {
-                state.coldness.markUntil(now + REOPENED_ZONE_COLD_TIME)
-            }
-        }
+        states.values.filter { it.current.zone == zone }
+            .forEach { it.coldness.markUntil(now + REOPENED_ZONE_COLD_TIME) }
     }
 
     /** Removes the replica [id]; requests in progress keep a reference to its state. */
