--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/ListeningChannel.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/listener/ListeningChannel.kt
@@ -5,7 +5,7 @@
 
 /** A listening socket that can be closed as soon as its last connection is accepted. */
 internal class ListeningChannel : NioServerSocketChannel() {
-    /** Whether a selector holds the socket, so that it stays open after the channel is closed until the next selection. */
+    /** Whether a selector holds the socket, so that it would stay open until the next selection if it were closed. */
     val isSelected: Boolean get() = javaChannel().isRegistered
 
     /** Accepts the established connections, at most [maximum], even if the channel has stopped reading. */
