Requests before the first sign of the end of a run count for the next one

Cause: the requests that a host has sent unpaced within the last second are counted when a registration names a new run, but not when the first sign of the end of a run (a lost connection, a failed connect) makes the host count the replica as cold. Such requests may have gone to the next run already, since the end of the former one can reach a host late, or through one connection only.

Change: a sign delays the host's next request until a second after its last unpaced one. A refused connection is evidence that the run which got the earlier requests is gone, so that those begun before it are forgotten (`SignOfEnd.absentAt`).

Ruled out: the delay without the refusal.

Price: a live replica that lost a connection gets no request of the host, instead of one each half second at most, until it has said which run it is or the second is over.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
@@ -7,13 +7,14 @@
 /** Paces this host's requests to a replica while it is cold, or may be. Not thread-safe. */
 internal class ColdPace {
     private var nextAt: MonotonicInstant? = null
+    private var unpacedUntil: MonotonicInstant? = null
 
     /** Time of the last request to the replica while it counted as warm. */
     var lastUnpacedAt: MonotonicInstant? = null
         private set
 
-    /** Whether the interval after the last request is over. */
-    fun permits(now: MonotonicInstant): Boolean = nextAt?.let { now >= it } ?: true
+    /** Whether the interval after the last request is over, and no unpaced one counts any longer. */
+    fun permits(now: MonotonicInstant): Boolean = listOfNotNull(nextAt, unpacedUntil).all { now >= it }
 
     /** Takes the request that is due at [now]; the next one is due after [interval]. Returns false if none is due. */
     fun take(interval: Duration, now: MonotonicInstant): Boolean {
@@ -28,12 +29,19 @@
     }
 
     /**
-     * Delays the next request until the unpaced ones are no longer counted: a new run may have got them before its
-     * registration arrived.
+     * Delays the next request until the unpaced ones are no longer counted: a new run may have got them before this
+     * host learned of it.
      */
     fun awaitUnpaced() {
-        val end = lastUnpacedAt?.let { it + COUNTED_FOR } ?: return
-        nextAt = listOfNotNull(nextAt, end).max()
+        unpacedUntil = lastUnpacedAt?.let { it + COUNTED_FOR }
+    }
+
+    /** Forgets the unpaced requests up to [end], since the run that got them had ended by then. */
+    fun forgetUnpaced(end: MonotonicInstant) {
+        val last = lastUnpacedAt ?: return
+        if (last > end) return
+        lastUnpacedAt = null
+        unpacedUntil = null
     }
 
     private companion object {
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -45,9 +45,13 @@
     public fun recordSignOfEnd(run: Long, now: MonotonicInstant): Boolean = synchronized(lock) {
         if (run != startedAt) return@synchronized false
         doubt.raise(now)
+        pace.awaitUnpaced()
         true
     }
 
+    /** Records that the replica refused a connection at [at]: the run that got the requests before it has ended. */
+    public fun recordAbsence(at: MonotonicInstant): Unit = synchronized(lock) { pace.forgetUnpaced(at) }
+
     /** Records that the run which started at [run] existed at [asOf]; returns whether that ends the doubt. */
     public fun recordRunning(run: Long, asOf: MonotonicInstant): Boolean =
         synchronized(lock) { run == startedAt && doubt.refute(asOf) }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -87,4 +87,32 @@
         expectThat(coldness().permitsRequest(start + 0.5.seconds)).isFalse()
         expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
     }
+
+    @Test
+    fun `requests sent just before the first sign of the end of a run count for the next one`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start)
+        coldness().recordSignOfEnd(run = 1, start + 0.1.seconds)
+        expectThat(coldness().permitsRequest(start + 0.9.seconds)).isFalse()
+        expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
+    }
+
+    @Test
+    fun `requests sent before the replica refused a connection do not count for the next run`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start)
+        coldness().recordSignOfEnd(run = 1, start + 0.1.seconds)
+        coldness().recordAbsence(start + 0.2.seconds)
+        expectThat(coldness().permitsRequest(start + 0.2.seconds)).isTrue()
+    }
+
+    /** The refusal is of a connection that was begun before the next run started. */
+    @Test
+    fun `requests sent after a connection was refused count for the next run`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start + 0.2.seconds)
+        coldness().recordAbsence(start + 0.1.seconds)
+        coldness().recordSignOfEnd(run = 1, start + 0.3.seconds)
+        expectThat(coldness().permitsRequest(start + 0.3.seconds)).isFalse()
+    }
 }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetPool.kt
@@ -40,7 +40,7 @@
  * The pool of [loop]; responses are buffered within [responseMemory], and [onOpened] is called for each new connection.
  * Connections to targets that are [isLeaving] are not kept open.
  *
- * @param onSignOfEnd called with a reason when the process of a target may have ended: no connection to it could be
+ * @param onSignOfEnd called when the process of a target may have ended: no connection to it could be
  *   established, or it closed one that carried a request, or the oldest one.
  */
 internal class TargetPool(
@@ -48,7 +48,7 @@
     val responseMemory: MemoryBudget,
     private val onOpened: () -> Unit,
     private val isLeaving: (TargetKey) -> Boolean = { false },
-    private val onSignOfEnd: (TargetPool, TargetKey, String) -> Unit = { _, _, _ -> },
+    private val onSignOfEnd: (TargetPool, TargetKey, SignOfEnd) -> Unit = { _, _, _ -> },
 ) {
     private val clock = MonotonicClock.SYSTEM
     private val limit = IdleLimit(DEFAULT_IDLE_TIMEOUT - IDLE_MARGIN)
@@ -84,7 +84,8 @@
     /** Called when the target or the network closed [connection], which carried a request if it [isBusy]. */
     fun onLost(connection: TargetConnection, isBusy: Boolean) {
         val isOldest = connections[connection.key]?.firstOrNull() === connection
-        if (isBusy || (isOldest && !isTimeout(connection))) onSignOfEnd(this, connection.key, "connection lost")
+        if (!isBusy && (!isOldest || isTimeout(connection))) return
+        onSignOfEnd(this, connection.key, SignOfEnd("connection lost"))
     }
 
     /** Whether the target probably closed the idle [connection] after its idle timeout. */
@@ -134,6 +135,7 @@
 
     private fun open(key: TargetKey, use: (TargetConnection) -> Unit, fail: (ConnectFailure) -> Unit) {
         onOpened()
+        val startedAt = clock.now()
         var connection: TargetConnection? = null
         val bootstrap = Bootstrap().group(loop).channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
@@ -157,8 +159,10 @@
                 } else {
                     // Without a channel or a port of its own, the host has not asked the target anything.
                     val isOwnFault = opened == null || future.cause() is BindException
-                    if (!isOwnFault) onSignOfEnd(this@TargetPool, key, "connect failed")
-                    fail(connectFailure(future.cause()))
+                    val failure = connectFailure(future.cause())
+                    val absentAt = startedAt.takeIf { failure.isRefused }
+                    if (!isOwnFault) onSignOfEnd(this@TargetPool, key, SignOfEnd("connect failed", absentAt))
+                    fail(failure)
                 }
             },
         )
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RunInquiries.kt
@@ -22,6 +22,7 @@
 import org.buckthornwheel.forwarding.client.CallResult
 import org.buckthornwheel.forwarding.client.HttpCall
 import org.buckthornwheel.forwarding.client.HttpServiceClient
+import org.buckthornwheel.forwarding.connection.SignOfEnd
 import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
@@ -44,18 +45,19 @@
     private val running = ConcurrentHashMap.newKeySet<ReplicaRun>()
 
     /**
-     * Called on the event loop of [pool] when the process at [key] may have ended, for the [reason]. It may be a later
+     * Called on the event loop of [pool] when there is a [sign] that the process at [key] has ended. It may be a later
      * run than that of the key, which was registered after the connection had been opened.
      */
-    fun onSignOfEnd(pool: TargetPool, key: TargetKey, reason: String) {
+    fun onSignOfEnd(pool: TargetPool, key: TargetKey, sign: SignOfEnd) {
         val path = dialect.runPath ?: return
         val state = replicas.find(ReplicaId(key.owner)) ?: return
         val current = state.current.takeIf { it.address == key.address } ?: return
         val run = ReplicaRun(current.id, current.startedAt)
         val service = routingState.manifest?.services?.get(current.service) ?: return
+        sign.absentAt?.let(state.coldness::recordAbsence)
         if (!service.limitsColdReplicas || !state.coldness.recordSignOfEnd(run.startedAt, clock.now())) return
         if (!running.add(run)) return
-        write("run doubted", run) { put("reason", reason) }
+        write("run doubted", run) { put("reason", sign.reason) }
         Inquiry(run, state, service, path, pool, key.copy(startedAt = run.startedAt)).ask()
     }
 
