The log names the software version of replicas and attempts, and the stream that a request takes up

Evidence missing: which version an attempt was sent to, and which request began the stream that a caller takes up; the entry's version was not read. No choice depends on the version yet.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/Replica.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/Replica.kt
@@ -19,6 +19,7 @@
  * @property startedAt start time in Unix milliseconds, by which a restart under the same id is recognized;
  *   [UNKNOWN_START] if it is not known.
  * @property sequence number of the registration among those of the same run; null if it is not known.
+ * @property version version of the software that it runs.
  */
 public data class Replica(
     public val id: ReplicaId,
@@ -30,6 +31,7 @@
     public val isDraining: Boolean,
     public val startedAt: Long,
     public val sequence: Long? = null,
+    public val version: SoftwareVersion = SoftwareVersion.UNNAMED,
 ) {
     /** Predefined values. */
     public companion object {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/dialect/RequestDialect.kt
@@ -26,6 +26,8 @@
  * @property expectedOutputTokens the caller's estimate of the number of generated tokens; null if it is not given.
  * @property parts parts of the prompt, in order.
  * @property hasTokenCounts whether the caller gave the numbers of prompt and output tokens.
+ * @property resumedRequest the request that brought the first event of the stream which this one takes up; null if the
+ *   caller names none.
  */
 public data class RequestMetadata(
     public val id: RequestId,
@@ -35,6 +37,7 @@
     public val expectedOutputTokens: Int?,
     public val parts: List<PromptPart>,
     public val hasTokenCounts: Boolean = false,
+    public val resumedRequest: RequestId? = null,
 ) {
     /** Tokens that the request may use altogether; null if the caller did not say. */
     public val usedTokens: Long? get() = if (hasTokenCounts) promptTokens.toLong() + outputTokens else null
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/CallerResponse.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/CallerResponse.kt
@@ -123,6 +123,7 @@
             put("status", status)
             put("reason", reason)
             put("attempts", history.count)
+            request.metadata.resumedRequest?.let { put("resumes", it.value) }
             put("milliseconds", took.inWholeMilliseconds)
         }
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -76,6 +76,7 @@
             put("missing", decision.missingTokens)
             put("load", decision.load.requests)
             put("memory", decision.load.tokens)
+            put("version", decision.replica.version.value)
             put("parts", sharedPartsText())
             decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
