A stream goes on only at the software version that began it

Cause: no part of a host knew versions; each choice of a replica for a stream that had begun was one among all replicas, and after all hosts lost power nobody knows where a stream began. Change, decision 0016: the version at which a resumable stream begins follows from the identifier of its request and the numbers of replicas of each version, so that any host derives it from Resumes. The numbers stand in the store, those replaced lately too; a stream for which they do not agree is refused at once with 503, as is one whose version has left. The version binds retries, hedges, forwards and take-ups. Shares that every host has said it knows count for streams that began since, so that a rollout does not refuse the take-ups after it.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/entry/KnownEntryHosts.kt
@@ -108,6 +108,9 @@
     /** Hosts that are alive and ready at [now]. */
     public fun ready(now: MonotonicInstant): List<EntryHostProfile> = snapshot(now).ready
 
+    /** The other hosts that may be working at [now], even if they cannot be heard. */
+    public fun possiblyAlive(now: MonotonicInstant): List<EntryHostProfile> = snapshot(now).possiblyAlive
+
     /** Whether another host that is alive and ready accepts requests of client accounts. */
     public fun hasAcceptingHost(now: MonotonicInstant): Boolean = snapshot(now).accepting.isNotEmpty()
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -11,6 +11,7 @@
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.ClientAccount
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The version of a manifest; a higher version replaces a lower one. */
 @JvmInline
@@ -45,6 +46,13 @@
         .groupBy({ it.first }, { it.second })
         .mapValues { (_, list) -> shortestOfEachPriority(list) }
 
+    /** The services whose streams callers may take up again, and how long after its beginning that may happen. */
+    public val streamRelevance: Map<ServiceName, Duration> = routes
+        .filter { it.kind == RouteKind.STREAMING && it.isResumable }
+        .flatMap { route -> route.split.map { it.service to route.timeout } }
+        .groupBy({ it.first }, { it.second })
+        .mapValues { (_, timeouts) -> timeouts.max() * 2 + TAKE_UP_DELAY }
+
     private fun shortestOfEachPriority(list: List<Route>): List<Route> =
         list.groupBy { it.priority }.values.map { same -> same.minBy { it.targetLatency } }
 
@@ -58,6 +66,11 @@
 
     /** The routes of [hostName]. */
     public fun routesOf(hostName: String): List<Route> = routesByHost[hostName].orEmpty()
+
+    private companion object {
+        /** Time for a change of the software versions to reach all hosts, and for a caller to return. */
+        val TAKE_UP_DELAY = 2.seconds
+    }
 }
 
 /** Determines whether requests of a route may be sent again after a failure. */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -104,12 +104,17 @@
         now: MonotonicInstant,
     ): Boolean {
         val replica = snapshot.replica
-        if (replica.id in request.excluded || replica.zone in request.closedZones) return false
+        if (replica.id in request.excluded || replica.zone in request.closedZones || !hasVersion(snapshot, request)) {
+            return false
+        }
         if (request.homeRegions.isNotEmpty() && replica.region !in request.homeRegions) return false
         if (replica.region != region) return request.mayForward && replica.region in reachable && !snapshot.isCold
         return !snapshot.isCold || (snapshot.canSendColdRequest && coldReplicaPolicy.permits(replica, now))
     }
 
+    private fun hasVersion(snapshot: ReplicaSnapshot, request: PlacementRequest): Boolean =
+        request.version == null || request.version == snapshot.replica.version
+
     private fun candidate(
         snapshot: ReplicaSnapshot,
         request: PlacementRequest,
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
@@ -5,6 +5,7 @@
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.replica.PromptPart
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import kotlin.time.Duration
 
 /**
@@ -22,6 +23,7 @@
  * @property queueTarget shortest target latency among requests of the service that are at least as urgent; limits the
  *   queues at replicas that it may join.
  * @property limited replicas that work, but take no more requests at this moment.
+ * @property version the only software version that may serve it; null if all may.
  * @property isUrgent whether it may join longer queues and is assumed not to be preempted.
  */
 public data class PlacementRequest(
@@ -39,4 +41,5 @@
     public val isUrgent: Boolean,
     public val queueTarget: Duration = targetLatency,
     public val limited: Set<ReplicaId> = emptySet(),
+    public val version: SoftwareVersion? = null,
 )
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -67,6 +67,10 @@
     /** Whether there is a sign that the run which started at [run] has ended, which no answer has explained. */
     public fun hasUnansweredSign(run: Long): Boolean = synchronized(lock) { run == startedAt && doubt.isUnanswered }
 
+    /** Whether the replica is cold at [now] by what was said of it, not because its run is doubted. */
+    public fun isRegisteredCold(now: MonotonicInstant): Boolean =
+        synchronized(lock) { until?.let { now < it } ?: false }
+
     /** Whether the replica is cold at [now], or may be. */
     public fun isCold(now: MonotonicInstant): Boolean = synchronized(lock) { isColdAt(now) }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/routing/RendezvousHash.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/routing/RendezvousHash.kt
@@ -21,4 +21,7 @@
         val bytes = (key + SEPARATOR + name).encodeToByteArray()
         return MurmurHash3.hash128x64(bytes, 0, bytes.size, SEED)[0]
     }
+
+    /** The weight of [name] for [key] as a number from 0 (inclusive) to 1 (exclusive). */
+    public fun fraction(key: String, name: String): Double = HashMixing.fraction(weight(key, name))
 }
--- /dev/null
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -0,0 +1,123 @@
+package org.buckthornwheel.decision.version
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.RequestId
+import org.buckthornwheel.decision.replica.SoftwareVersion
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/** Which software version a stream that has begun goes on at. */
+public sealed interface BegunStream {
+    /** The [version] that began it. */
+    public data class At(public val version: SoftwareVersion) : BegunStream
+
+    /** It cannot be told which version began it, so it must not go on. */
+    public data object Unknown : BegunStream
+}
+
+/**
+ * The shares of the software versions of one service, as this host knows them. Thread-safe.
+ *
+ * Load pattern: versions follow each other within seconds, and all hosts lose power meanwhile. A host that has just
+ * started derives the version of a stream from the history that the store holds. Shares that were replaced count for as
+ * long as a stream may still be taken up, from the moment at which this host learned of the change; no clock of another
+ * host is involved, and a host that learned late has told wrong versions no longer than that.
+ */
+public class ServiceVersions {
+    private val lock = Any()
+    private var history = VersionHistory(0, emptyList())
+    private var storedNumber = 0L
+
+    /** When this host learned that shares had been replaced, and that every host has learned it. */
+    private class Replacement(val learnedAt: MonotonicInstant, var everywhereAt: MonotonicInstant? = null)
+
+    private val replaced = LinkedHashMap<VersionShares, Replacement>()
+
+    /** The history in force; its number is 0 while none was recorded in the store. */
+    public val current: VersionHistory get() = synchronized(lock) { history }
+
+    /** Whether the store holds the history in force, as far as is known. */
+    public val isStored: Boolean get() = synchronized(lock) { history.number > 0 && storedNumber == history.number }
+
+    /** Applies the history that the store holds, null if it holds none, unless a later one is in force. */
+    public fun applyStored(stored: VersionHistory?, now: MonotonicInstant): Unit = synchronized(lock) {
+        storedNumber = stored?.number ?: 0
+        if (stored != null && stored.number >= history.number) replace(stored, now)
+    }
+
+    /** Applies [counted], which this host counted itself, while the store holds no history. */
+    public fun applyCounted(counted: VersionShares, now: MonotonicInstant): Unit = synchronized(lock) {
+        val isKnown = history.number > 0 || history.inForce.isNear(counted)
+        if (!isKnown) replace(VersionHistory(0, listOf(counted)), now)
+    }
+
+    private fun replace(next: VersionHistory, now: MonotonicInstant) {
+        for (shares in history.shares + next.shares) replaced.putIfAbsent(shares, Replacement(now))
+        replaced.remove(next.inForce)
+        history = next
+    }
+
+    /** Records that every host knows the history with [number] at [now], so that no stream begins by earlier ones. */
+    public fun recordKnownEverywhere(number: Long, now: MonotonicInstant): Unit = synchronized(lock) {
+        if (history.number != number) return@synchronized
+        replaced.values.filter { it.everywhereAt == null }.forEach { it.everywhereAt = now }
+    }
+
+    /** The version of the stream that the request [stream] begins, which only the regions [homes] may serve. */
+    public fun ofNewStream(stream: RequestId, homes: Set<RegionName>): SoftwareVersion? =
+        synchronized(lock) { history.inForce }.versionOf(stream, homes)
+
+    /**
+     * The version of the stream that the request [stream] began, at most [age] before [now]. Without [stream], it is
+     * known only if a single version has served since.
+     */
+    public fun ofBegunStream(
+        stream: RequestId?,
+        homes: Set<RegionName>,
+        age: StreamAge,
+        now: MonotonicInstant,
+    ): BegunStream {
+        val possible = synchronized(lock) {
+            replaced.values.removeIf { now - it.learnedAt > maxOf(age.longest, LONGEST_RELEVANCE) }
+            (history.shares + replaced.keys).filter { it == history.inForce || mayHaveBegun(it, age, now) }
+        }
+        val versions = possible.flatMapTo(HashSet()) { shares ->
+            if (stream == null) shares.versions else setOfNotNull(shares.versionOf(stream, homes))
+        }
+        return versions.singleOrNull()?.let(BegunStream::At) ?: BegunStream.Unknown
+    }
+
+    /** Whether a stream of [age] may have begun by [shares], which were replaced. */
+    private fun mayHaveBegun(shares: VersionShares, age: StreamAge, now: MonotonicInstant): Boolean {
+        val replacement = replaced[shares] ?: return true
+        val everywhereAt = replacement.everywhereAt
+        if (everywhereAt != null && age.own != null) return now - everywhereAt <= age.own
+        return shares in history.shares || now - replacement.learnedAt <= age.longest
+    }
+
+    /**
+     * The history that should follow the present one, if the shares [counted] suit the replicas at [now]; null if the
+     * present one still does. Replaced shares are dropped [relevance] after they were replaced.
+     */
+    public fun successor(counted: VersionShares, relevance: Duration, now: MonotonicInstant): VersionHistory? =
+        synchronized(lock) {
+            if (counted.versions.isEmpty()) return@synchronized null
+            val isOver = { shares: VersionShares -> replaced[shares]?.let { now - it.learnedAt > relevance } ?: false }
+            when {
+                history.number == 0L || !history.inForce.isNear(
+                    counted,
+                ) -> history.without(isOver).with(counted, history)
+                history.shares.dropLast(1).any(isOver) -> history.without(isOver)
+                else -> null
+            }
+        }
+
+    private fun VersionHistory.with(next: VersionShares, before: VersionHistory): VersionHistory =
+        VersionHistory(before.number, shares).with(next)
+
+    private companion object {
+        /** Replaced shares are forgotten after the longest time for which a manifest may let a stream last. */
+        val LONGEST_RELEVANCE = 10.minutes
+    }
+}
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ForwardingContext.kt
@@ -9,6 +9,7 @@
 import org.buckthornwheel.decision.quarantine.PromptPartQuarantine
 import org.buckthornwheel.decision.replica.RecentPrefills
 import org.buckthornwheel.decision.replica.ReplicaRegistry
+import org.buckthornwheel.decision.version.StreamVersions
 import org.buckthornwheel.forwarding.dialect.RequestDialect
 import org.buckthornwheel.forwarding.host.ManifestCurrency
 import org.buckthornwheel.forwarding.host.RoutingState
@@ -34,6 +35,7 @@
     val replicas: ReplicaRegistry get() = clusterState.replicas
     val reads: RecentPrefills get() = clusterState.reads
     val quarantine: PromptPartQuarantine get() = clusterState.quarantine
+    val versions: StreamVersions get() = clusterState.versions
     val currency: ManifestCurrency get() = clusterState.currency
     val placement: Placement get() = places.placement
     val queues: PlaceQueues get() = places.queues
@@ -42,8 +44,8 @@
 }
 
 /**
- * The host's view of manifest and replicas, the recent prefills that it reports, the quarantined prompt parts, and
- * whether the manifest is current.
+ * The host's view of manifest and replicas, the recent prefills that it reports, the quarantined prompt parts, whether
+ * the manifest is current, and the software versions of streams.
  */
 internal class ClusterState(
     val routingState: RoutingState,
@@ -51,6 +53,7 @@
     val reads: RecentPrefills,
     val quarantine: PromptPartQuarantine,
     val currency: ManifestCurrency,
+    val versions: StreamVersions,
 )
 
 /** The choice of places, and the queues of requests that wait for one. */
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerAttempt.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.decision.entry.EntryHostProfile
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import org.buckthornwheel.forwarding.connection.ConnectionFailure
 import org.buckthornwheel.forwarding.connection.ResponseListener
 import org.buckthornwheel.forwarding.connection.TargetConnection
@@ -25,6 +26,7 @@
     private val proxiedRequest: ProxiedRequest,
     private val host: EntryHostProfile,
     private val permit: RetryPermit,
+    override val version: SoftwareVersion?,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -39,6 +41,7 @@
             put("request", proxiedRequest.metadata.id.value)
             put("peer", host.name.value)
             put("region", host.region.value)
+            version?.let { put("version", it.value) }
             proxiedRequest.describePlacement(this)
         }
         pool.acquire(
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PeerEnvelope.kt
@@ -19,6 +19,7 @@
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.manifest.ManifestVersion
 import org.buckthornwheel.decision.manifest.RouteKind
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import java.util.Base64
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -47,6 +48,7 @@
  * @property account the client account for which the first host accepted the request. It is trusted: hosts remove the
  *   envelope that a caller sends, and only hosts reach the listener that reads it.
  * @property origin the host that accepted the request from its caller; null if it is of an earlier build.
+ * @property softwareVersion the only software version that may serve it; null if all may.
  */
 @Serializable
 internal data class PeerEnvelope(
@@ -62,6 +64,7 @@
     val remainingMilliseconds: Long,
     val account: AccountName? = null,
     val origin: HostName? = null,
+    val softwareVersion: String? = null,
 ) {
     /**
      * The policy of the request on the receiving host, which must not forward it again; [hasAccounts] is whether that
@@ -83,6 +86,7 @@
         account = account,
         hasAccounts = hasAccounts || account != null,
         origin = origin,
+        softwareVersion = softwareVersion?.let(::SoftwareVersion),
     )
 
     /** Encoding and decoding. */
@@ -109,6 +113,7 @@
                 remainingMilliseconds = (policy.deadline - now).inWholeMilliseconds,
                 account = policy.account,
                 origin = origin,
+                softwareVersion = policy.softwareVersion?.value,
             )
 
         fun write(headers: HttpHeaders, envelope: PeerEnvelope) {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -5,6 +5,7 @@
 import org.buckthornwheel.decision.placement.PlacementDecision
 import org.buckthornwheel.decision.placement.PlacementRequest
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import org.buckthornwheel.forwarding.connection.TargetPool
 import kotlin.time.Duration
 
@@ -25,6 +26,9 @@
     /** No region that this host may send the request to is among its homes. */
     data object OutsideHomes : PlacementResult
 
+    /** The stream has begun and must not go on, for [reason]: its software version is unknown or has left. */
+    class CannotGoOn(val reason: String) : PlacementResult
+
     /** A place exists, but the request must not be sent once more. */
     data object RetryBudgetExhausted : PlacementResult
 }
@@ -50,24 +54,54 @@
 
     fun next(now: MonotonicInstant): PlacementResult {
         val homes = homes() ?: return PlacementResult.OutsideHomes
+        return when (val required = proxiedRequest.version.required(homes, now)) {
+            RequiredVersion.Any -> choose(homes, version = null, now)
+            is RequiredVersion.Only -> choose(homes, required.version, now)
+            RequiredVersion.NotYetKnown -> PlacementResult.NoPlace(wait = null)
+            RequiredVersion.Untraceable -> PlacementResult.CannotGoOn("software version of the stream is not known")
+        }
+    }
+
+    private fun choose(homes: Set<RegionName>, version: SoftwareVersion?, now: MonotonicInstant): PlacementResult {
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
-        val choice = limited.choose(placementRequest(homes, now), reachable, now)
+        val placed = placementRequest(homes, version, now)
+        val choice = limited.choose(placed, reachable, now)
         if (choice.place != null) return toReplica(choice.place, now)
         return when (val decision = choice.decision) {
-            is PlacementDecision.Forward -> toRegion(decision, now)
+            is PlacementDecision.Forward -> toRegion(decision, version, now)
             is PlacementDecision.Full -> PlacementResult.NoPlace(choice.earliest(decision.wait))
             is PlacementDecision.Paused -> PlacementResult.Paused(choice.earliest(decision.wait))
-            is PlacementDecision.Local, PlacementDecision.NoReplica -> PlacementResult.NoPlace(choice.limitWait)
+            is PlacementDecision.Local -> PlacementResult.NoPlace(choice.limitWait)
+            PlacementDecision.NoReplica -> onNoReplica(placed, choice)
         }
     }
 
+    /** A stream does not wait for a software version that has left, since it will not be back in time. */
+    private fun onNoReplica(placed: PlacementRequest, choice: PlacementChoice): PlacementResult {
+        val mayReturn = !proxiedRequest.version.isTakeUp || context.replicas.of(policy.service).any { state ->
+            val replica = state.current
+            replica.version == placed.version && !context.replicas.isLeaving(replica.id) &&
+                replica.zone !in placed.closedZones &&
+                (placed.homeRegions.isEmpty() || replica.region in placed.homeRegions)
+        }
+        if (mayReturn) return PlacementResult.NoPlace(choice.limitWait)
+        return PlacementResult.CannotGoOn("no replica of software version ${placed.version}")
+    }
+
     /**
      * A second attempt beside the one at [running], at a replica of this region with a free slot; null if none may be
      * sent. A second attempt is a retry for the shared budget too.
      */
     fun hedge(running: ReplicaId, now: MonotonicInstant): PlacementResult.Attempting? {
         val homes = homes() ?: return null
-        val placed = placementRequest(homes, now).let { it.copy(excluded = it.excluded + running, mayForward = false) }
+        val version = when (val required = proxiedRequest.version.required(homes, now)) {
+            RequiredVersion.Any -> null
+            is RequiredVersion.Only -> required.version
+            RequiredVersion.NotYetKnown, RequiredVersion.Untraceable -> return null
+        }
+        val placed = placementRequest(homes, version, now).let {
+            it.copy(excluded = it.excluded + running, mayForward = false)
+        }
         val place = limited.choose(placed, emptySet(), now).place
         val isFree = place != null && place.decision.load.requests < place.decision.replica.slots &&
             wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
@@ -82,7 +116,11 @@
     private fun homes(): Set<RegionName>? =
         proxiedRequest.homes.regions.takeIf { policy.mayForward || proxiedRequest.homes.permit(context.hosts.region) }
 
-    private fun placementRequest(homes: Set<RegionName>, now: MonotonicInstant): PlacementRequest = PlacementRequest(
+    private fun placementRequest(
+        homes: Set<RegionName>,
+        version: SoftwareVersion?,
+        now: MonotonicInstant,
+    ): PlacementRequest = PlacementRequest(
         service = policy.service,
         promptTokens = request.metadata.promptTokens,
         outputTokens = request.metadata.expectedOutputTokens ?: request.metadata.outputTokens,
@@ -97,6 +135,7 @@
         isUrgent = policy.priority == 0,
         queueTarget = context.routingState.manifest?.shortestTarget(policy.service, policy.priority)
             ?: policy.targetLatency,
+        version = version,
     )
 
     private fun toReplica(place: ReplicaPlace, now: MonotonicInstant): PlacementResult {
@@ -134,17 +173,25 @@
         }
     }
 
-    private fun toRegion(decision: PlacementDecision.Forward, now: MonotonicInstant): PlacementResult {
+    private fun toRegion(
+        decision: PlacementDecision.Forward,
+        version: SoftwareVersion?,
+        now: MonotonicInstant,
+    ): PlacementResult {
         val reachable = context.hosts.primaries(decision.region, now).filter(history::permits)
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return PlacementResult.NoPlace(wait = null)
         if (!wait.mayTake(decision.region, replica = null, now)) return PlacementResult.Reserved
         val permit = permit(now) ?: return PlacementResult.RetryBudgetExhausted
         context.meters.forwarded()
-        val attempt = PeerAttempt(context, proxiedRequest, host, permit, now)
+        val attempt = PeerAttempt(context, proxiedRequest, host, permit, version, now)
         return PlacementResult.Attempting(attempt) {
             val homes = proxiedRequest.homes
-            val current = policy.copy(homeRegions = homes.regions.orEmpty(), version = homes.version)
+            val current = policy.copy(
+                homeRegions = homes.regions.orEmpty(),
+                version = homes.version,
+                softwareVersion = version,
+            )
             val envelope = PeerEnvelope.of(current, history.remaining, context.hosts.name, now)
             attempt.start(pool, RequestHeaders.forPeer(context, request, envelope, lastEventId), request)
         }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -49,6 +49,9 @@
     /** The regions that may serve the request. */
     val homes = HomesInForce(context.routingState, request)
 
+    /** The software version that a stream is bound to. */
+    val version = StreamVersion(context, request)
+
     private val history = AttemptHistory(request.policy.maximumAttempts)
 
     /** The response that the caller gets. */
@@ -102,10 +105,18 @@
             is PlacementResult.Paused -> rejectUntilPauseEnds(result.wait, now)
             PlacementResult.Reserved -> Unit
             PlacementResult.OutsideHomes -> leaveRegion()
+            is PlacementResult.CannotGoOn -> endStream(result.reason)
             PlacementResult.RetryBudgetExhausted -> requestRetry()
         }
     }
 
+    /** Neither another host nor a later moment changes that; the caller may start a new stream at once. */
+    private fun endStream(reason: String) {
+        if (response.hasBegunStream) return response.abort(reason)
+        val status = if (history.mayHaveRun) HttpResponseStatus.BAD_GATEWAY else HttpResponseStatus.SERVICE_UNAVAILABLE
+        response.reject(status, reason, retryAfter = null, isForGood = true)
+    }
+
     /** The host that forwarded the request may send it to a home; it would relay a failure as it is. */
     private fun leaveRegion() {
         if (!policy.mayForward && policy.isRetryable && history.mayHaveRun) return response.abort(OUTSIDE_HOMES)
@@ -146,6 +157,7 @@
 
     /** Called before the response of [winner] reaches the caller; any other attempt is cancelled. */
     fun onResponding(winner: Attempt) {
+        version.recordBegun(winner.version)
         hedging.onResponding(winner)
         attempts.keepOnly(winner)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -17,6 +17,7 @@
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import org.buckthornwheel.forwarding.connection.ConnectFailure
 import org.buckthornwheel.forwarding.connection.ConnectionFailure
 import org.buckthornwheel.forwarding.connection.ResponseListener
@@ -58,6 +59,8 @@
     var hasStartedResponding: Boolean = false
         private set
 
+    override val version: SoftwareVersion get() = decision.replica.version
+
     /** The replica that the request is sent to. */
     val replica: ReplicaId get() = decision.replica.id
 
@@ -76,7 +79,7 @@
             put("missing", decision.missingTokens)
             put("load", decision.load.requests)
             put("memory", decision.load.tokens)
-            put("version", decision.replica.version.value)
+            put("version", version.value)
             put("parts", sharedPartsText())
             decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestHeaders.kt
@@ -10,7 +10,7 @@
 
 /** Derives the headers of a proxied request from those that the caller sent. */
 internal object RequestHeaders {
-    private const val LAST_EVENT_ID = "Last-Event-Id"
+    const val LAST_EVENT_ID = "Last-Event-Id"
 
     fun forReplica(
         context: ForwardingContext,
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/RequestPolicy.kt
@@ -7,6 +7,7 @@
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.manifest.ManifestVersion
 import org.buckthornwheel.decision.manifest.RouteKind
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import kotlin.time.Duration
 
 /**
@@ -19,6 +20,8 @@
  * @property hasAccounts whether the manifest declares client accounts, so that keys and account names in the caller's
  *   headers are not for the replica. Without accounts, they are headers like any others.
  * @property mayForward whether the request may be forwarded to another region; false if it came from another region.
+ * @property softwareVersion the only software version that may serve a forwarded request; null if the host that
+ *   accepted it named none.
  * @property origin the host that forwarded the request; null if it came from a caller or from a host of an earlier
  *   build.
  */
@@ -38,6 +41,7 @@
     val account: AccountName? = null,
     val hasAccounts: Boolean = account != null,
     val origin: HostName? = null,
+    val softwareVersion: SoftwareVersion? = null,
 ) {
     val isStreaming: Boolean get() = kind == RouteKind.STREAMING
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.share.SharedAccountQuotas
 import org.buckthornwheel.decision.account.share.SharedReplicaLimits
 import org.buckthornwheel.decision.account.share.SharingScope
@@ -27,6 +28,8 @@
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaRegistry
 import org.buckthornwheel.decision.startup.StartupAdmission
+import org.buckthornwheel.decision.version.StreamVersions
+import org.buckthornwheel.decision.version.VersionHistory
 import org.buckthornwheel.forwarding.connection.TargetKey
 import org.buckthornwheel.forwarding.connection.TargetPool
 import org.buckthornwheel.forwarding.dialect.RequestDialect
@@ -56,6 +59,7 @@
 import org.buckthornwheel.forwarding.membership.AccountSharing
 import org.buckthornwheel.forwarding.membership.EstateCall
 import org.buckthornwheel.forwarding.membership.EstateRecovery
+import org.buckthornwheel.forwarding.membership.EstateRevision
 import org.buckthornwheel.forwarding.membership.EstateSync
 import org.buckthornwheel.forwarding.membership.HeartbeatService
 import org.buckthornwheel.forwarding.membership.LocalHostState
@@ -103,6 +107,18 @@
     @Volatile
     public var estate: EstateSync = EstateSync.NONE
 
+    private val versionSharing =
+        VersionSharing(settings.self, hosts, replicas, routingState, log, clock) { service, history ->
+            onVersionsDue(service, history)
+        }
+
+    /** The software versions of streams. */
+    public val versions: StreamVersions get() = versionSharing.versions
+
+    /** Called with the history of a service that this host should record; set by the adapter before the start. */
+    @Volatile
+    public var onVersionsDue: (ServiceName, VersionHistory) -> Unit = { _, _ -> }
+
     /** Called when this host itself quarantines or releases a prompt part; set by the adapter before the start. */
     @Volatile
     public var onQuarantineDecision: (QuarantineChange) -> Unit = {}
@@ -158,7 +174,7 @@
     private val replicaLimits = ReplicaLimits(sharedReplicaLimits, observability)
     private val context = ForwardingContext(
         dialect = dialect,
-        clusterState = ClusterState(routingState, replicas, reads, quarantine, currency),
+        clusterState = ClusterState(routingState, replicas, reads, quarantine, currency, versions),
         hosts = hosts,
         places = Places(placement, PlaceQueues(settings.waiting.limits, observability, clock, ::waitsInOrder)),
         budgets = Budgets(retries, HedgePolicy(settings.hedging), quotas, replicaLimits),
@@ -191,6 +207,7 @@
             AccountSharing(quotas),
             ReplicaLimitSharing(sharedReplicaLimits, replicaLimits, replicas),
             { routingState.manifest?.version?.value ?: 0 },
+            versionSharing.reported,
         ),
         log,
         clock,
@@ -223,7 +240,14 @@
             InboundConnection(it, callerStarter(it.eventLoop(), startup), callerResources)
         }
         limits.startRelieving(loops)
-        loops.next().scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
+        val timer = loops.next()
+        timer.scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
+        timer.scheduleWithFixedDelay(
+            versionSharing::updateAndLogFailure,
+            0,
+            VersionSharing.CHECK_MILLISECONDS,
+            TimeUnit.MILLISECONDS,
+        )
         log.write(LogPart.HOST, "started") {
             put("zone", settings.self.zone.value)
             put("incarnation", settings.self.incarnation.value)
@@ -233,6 +257,10 @@
     /** Shuts down gracefully: directs callers to other hosts, and completes late requests and those in progress. */
     public fun stop(): Unit = gracefulShutdown.run(announce = { loops.next().execute(heartbeats::sendToAll) })
 
+    /** Applies the software versions of [service] that the store holds as of [revision]; null if it holds none. */
+    public fun versionsRecorded(service: ServiceName, history: VersionHistory?, revision: EstateRevision): Unit =
+        versionSharing.applyStored(service, history, revision)
+
     /** Adds a prompt [part] that a host quarantined [age] ago, according to the adapter's records. */
     public fun quarantineRecorded(part: String, age: Duration): Unit =
         quarantineSharing.addRecorded(part, age, clock.now())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -32,7 +32,8 @@
 
 /**
  * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision and the
- * version of its manifest, the quarantine, the use of accounts, and the limits of replicas.
+ * version of its manifest, the quarantine, the use of accounts, and the limits of replicas. What other hosts say of
+ * their revisions is recorded in [reported].
  */
 internal class LocalHostState(
     val isReady: () -> Boolean,
@@ -42,6 +43,7 @@
     val accounts: AccountSharing,
     val limits: ReplicaLimitSharing,
     val manifestVersion: () -> Long,
+    val reported: ReportedRevisions,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -186,6 +188,7 @@
                 put("incarnation", heartbeat.sender.incarnation.value)
             }
         }
+        local.reported.record(heartbeat.sender.name, heartbeat.estateRevision)
         recovery.onHeartbeat(heartbeat.sender.host, heartbeat.estateRevision, heartbeat.manifestVersion, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/EncodedFormsTest.kt
@@ -91,7 +91,8 @@
             RouteKind.entries.map { kind -> envelope("envelope-${kind.ordinal}", envelope.copy(kind = kind)) } +
             envelope("envelope-account", envelope.copy(account = AccountName("account-1"))) +
             PeerOutcome.entries.map { outcome -> outcome("outcome-${outcome.ordinal}", outcome) } +
-            envelope("envelope-origin", envelope.copy(origin = HostName("host-1")))
+            envelope("envelope-origin", envelope.copy(origin = HostName("host-1"))) +
+            envelope("envelope-software-version", envelope.copy(softwareVersion = "v1.1"))
 
     private val recorded: Map<String, String> = checkNotNull(javaClass.getResource("/encoded-forms.txt")).readText()
         .lines().filter { it.isNotEmpty() }.associate { it.substringBefore(' ') to it.substringAfter(' ') }
