A replica whose run is not certain serves no resumable stream

Cause: the entry names the version of a run and is the last to arrive; hosts know that a run is doubted, but used the replica at the pace of cold ones. Change: while the run is doubted, or a later one is known to have followed, no stream that may be taken up begins or goes on there; looked at again when the connection is open.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/Placement.kt
@@ -112,8 +112,9 @@
         return !snapshot.isCold || (snapshot.canSendColdRequest && coldReplicaPolicy.permits(replica, now))
     }
 
+    /** A replica whose run is not certain may have started again with another version. */
     private fun hasVersion(snapshot: ReplicaSnapshot, request: PlacementRequest): Boolean =
-        request.version == null || request.version == snapshot.replica.version
+        request.version == null || (request.version == snapshot.replica.version && snapshot.isRunCertain)
 
     private fun candidate(
         snapshot: ReplicaSnapshot,
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/placement/PlacementRequest.kt
@@ -23,7 +23,7 @@
  * @property queueTarget shortest target latency among requests of the service that are at least as urgent; limits the
  *   queues at replicas that it may join.
  * @property limited replicas that work, but take no more requests at this moment.
- * @property version the only software version that may serve it; null if all may.
+ * @property version the only software version that may serve it, at replicas whose run is certain; null if all may.
  * @property isUrgent whether it may join longer queues and is assumed not to be preempted.
  */
 public data class PlacementRequest(
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -67,6 +67,10 @@
     /** Whether there is a sign that the run which started at [run] has ended, which no answer has explained. */
     public fun hasUnansweredSign(run: Long): Boolean = synchronized(lock) { run == startedAt && doubt.isUnanswered }
 
+    /** Whether the run that started at [run] is the known one, and nothing says that another one has followed it. */
+    public fun isRunCertain(run: Long, now: MonotonicInstant): Boolean =
+        synchronized(lock) { run == startedAt && !doubt.isRaised(now) && !doubt.hasLaterRun }
+
     /** Whether the replica is cold at [now] by what was said of it, not because its run is doubted. */
     public fun isRegisteredCold(now: MonotonicInstant): Boolean =
         synchronized(lock) { until?.let { now < it } ?: false }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaSnapshot.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaSnapshot.kt
@@ -11,6 +11,8 @@
  * @property slowness average ratio of the actual to the predicted time to the first event.
  * @property restriction why it gets no new requests; null if it may get some.
  * @property canSendColdRequest whether the interval after the last request to the cold replica is over.
+ * @property isRunCertain whether the replica still is the registered run, as far as is known, so that the registration
+ *   tells its software version.
  */
 public data class ReplicaSnapshot(
     public val replica: Replica,
@@ -22,6 +24,7 @@
     public val restriction: ReplicaRestriction?,
     public val isCold: Boolean,
     public val canSendColdRequest: Boolean,
+    public val isRunCertain: Boolean = true,
 ) {
     /** Whether it gets no new requests, unless it is the only one and did not say so itself. */
     public val isUnavailable: Boolean get() = restriction != null
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -141,6 +141,7 @@
             restriction = admission.restriction(replica, own.requests, isSilent(now), now),
             isCold = coldness.isCold(now),
             canSendColdRequest = coldness.permitsRequest(now),
+            isRunCertain = coldness.isRunCertain(replica.startedAt, now),
         )
     }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -17,10 +17,14 @@
     /** The later run that answered last; null if none did, or it did not say which it is. */
     private var laterRun: Long? = null
     private var laterRunWarmAt: MonotonicInstant? = null
+    private var hasRestarted = false
 
     /** Whether there is a sign that no answer has explained. */
     val isUnanswered: Boolean get() = signAt != null
 
+    /** Whether a later run has answered that is not registered yet. */
+    val hasLaterRun: Boolean get() = hasRestarted
+
     /** Records a sign at [now] that the run has ended: its connections are lost, or it accepts none. */
     fun raise(now: MonotonicInstant) {
         signAt = now
@@ -42,6 +46,7 @@
     fun confirm(answering: Long?, asOf: MonotonicInstant, warmAt: MonotonicInstant): Boolean {
         if (answering == null || answering != laterRun) laterRunWarmAt = warmAt
         laterRun = answering
+        hasRestarted = true
         val sign = signAt
         if (sign != null && asOf < sign) return false
         signAt = null
@@ -60,6 +65,7 @@
         until = null
         laterRun = null
         laterRunWarmAt = null
+        hasRestarted = false
     }
 
     fun isRaised(now: MonotonicInstant): Boolean = until?.let { now < it } ?: false
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -66,7 +66,7 @@
         val reachable = context.hosts.reachableRegions(now) - history.rejectingRegions
         val placed = placementRequest(homes, version, now)
         val choice = limited.choose(placed, reachable, now)
-        if (choice.place != null) return toReplica(choice.place, now)
+        if (choice.place != null) return toReplica(choice.place, version, now)
         return when (val decision = choice.decision) {
             is PlacementDecision.Forward -> toRegion(decision, version, now)
             is PlacementDecision.Full -> PlacementResult.NoPlace(choice.earliest(decision.wait))
@@ -107,7 +107,7 @@
             wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
         val verdict = context.hedges.tryHedge(policy.service, isFree, now)
         val permit = if (Hedging.isPermitted(context, verdict)) context.retries.take(policy.service, now) else null
-        if (permit != null && place != null) return attempting(place, permit, now)
+        if (permit != null && place != null) return attempting(place, version, permit, now)
         place?.claim?.giveBack()
         return null
     }
@@ -138,7 +138,7 @@
         version = version,
     )
 
-    private fun toReplica(place: ReplicaPlace, now: MonotonicInstant): PlacementResult {
+    private fun toReplica(place: ReplicaPlace, version: SoftwareVersion?, now: MonotonicInstant): PlacementResult {
         val replica = place.decision.replica
         if (!wait.mayTake(replica.region, replica.id, now)) {
             place.claim.giveBack()
@@ -149,7 +149,7 @@
             place.claim.giveBack()
             return PlacementResult.RetryBudgetExhausted
         }
-        return attempting(place, permit, now)
+        return attempting(place, version, permit, now)
     }
 
     /** What the next attempt takes of the shared budget, which is nothing for the first one; null if it is used up. */
@@ -162,11 +162,13 @@
 
     private fun attempting(
         place: ReplicaPlace,
+        version: SoftwareVersion?,
         permit: RetryPermit,
         now: MonotonicInstant,
     ): PlacementResult.Attempting {
         val decision = place.decision
-        val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, permit, now)
+        val isBound = version != null
+        val attempt = ReplicaAttempt(context, proxiedRequest, place.state, decision, place.claim, permit, isBound, now)
         return PlacementResult.Attempting(attempt) {
             val headers = RequestHeaders.forReplica(context, request, decision, policy.deadline - now, lastEventId)
             attempt.start(pool, headers, request, lastEventId)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -36,6 +36,7 @@
     private val decision: PlacementDecision.Local,
     claim: ReplicaClaim,
     private val permit: RetryPermit,
+    isBoundToVersion: Boolean,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -46,7 +47,7 @@
         prefillTokens = decision.missingTokens.toLong(),
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
-    private val permission = SendPermission(context, proxiedRequest, state, decision.replica, claim)
+    private val permission = SendPermission(context, proxiedRequest, state, decision.replica, isBoundToVersion, claim)
     private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id, startedAt)
     private var connection: TargetConnection? = null
     private var isFramed = false
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/SendPermission.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/SendPermission.kt
@@ -12,6 +12,7 @@
 /**
  * Whether one attempt may be sent to [replica], from its placement until its connection is open.
  *
+ * @param isBoundToVersion whether only the software version that the registration of [replica] names may serve it.
  * @param claim what the placement took of the limit that the replica named.
  */
 internal class SendPermission(
@@ -19,6 +20,7 @@
     private val proxiedRequest: ProxiedRequest,
     private val state: ReplicaState,
     private val replica: Replica,
+    private val isBoundToVersion: Boolean,
     private var claim: ReplicaClaim,
 ) {
     private val run = ReplicaRun(replica.id, replica.startedAt)
@@ -35,6 +37,7 @@
         return when {
             announcement != null -> announcement.source
             !proxiedRequest.homes.permit(replica.region) -> "outside the home regions in force"
+            isBoundToVersion && !state.coldness.isRunCertain(replica.startedAt, now) -> "software version not certain"
             !holdsColdRequest && !mayUseCold(now) -> "cold"
             claim.isLimited || takeOfLimit(now) -> null
             else -> "limited"
