A stream that is taken up again stays with its service

Cause: the draw did not depend on the stream. Change: for resumable routes it follows from the identifier of the request that began the stream. Other requests are split as before.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -8,8 +8,10 @@
 package org.buckthornwheel.decision.manifest
 
 import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.RequestId
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.ClientAccount
+import org.buckthornwheel.decision.routing.RendezvousHash
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -109,6 +111,9 @@
     public val isRepeatable: Boolean
         get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && isResumable)
 
+    /** The service for the stream that the request [stream] began, which stays the same when it is taken up again. */
+    public fun service(stream: RequestId): ServiceName = service(RendezvousHash.fraction(stream.value, name))
+
     /** The service for a request, chosen by weight with the random number [fraction] from 0 to 1. */
     public fun service(fraction: Double): ServiceName {
         val total = split.sumOf { it.weight }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.manifest.Manifest
 import org.buckthornwheel.decision.manifest.Route
 import org.buckthornwheel.decision.startup.StartupAdmission
@@ -73,6 +74,12 @@
         return route
     }
 
+    /** A stream that may be taken up again stays with its service. */
+    private fun service(route: Route, metadata: RequestMetadata): ServiceName {
+        if (!route.isResumable) return route.service(ThreadLocalRandom.current().nextDouble())
+        return route.service(metadata.resumedRequest ?: metadata.id)
+    }
+
     private fun policy(
         manifest: Manifest,
         route: Route,
@@ -84,7 +91,7 @@
         return RequestPolicy(
             routeName = route.name,
             version = manifest.version,
-            service = route.service(ThreadLocalRandom.current().nextDouble()),
+            service = service(route, metadata),
             kind = route.kind,
             isResumable = route.isResumable,
             priority = caller.account?.let { manifest.accountPriorities.of(it, route) } ?: route.priority,
