Requests that wait for one software version leave the places of others

What callers could see, where requests wait in order: a request that waits for a place at one software version keeps the places of another one from those that could use them. Cause: the scope of a waiting request did not name the version. Evidence: WaitingQueueTest, the new case: without the version in the scope the newcomer counts as behind (by reading; the case does not compile before). Change: the scope names the version while several serve. With a single version nothing changes.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitingQueue.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/waiting/WaitingQueue.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import kotlin.time.Duration
 
 /**
@@ -33,13 +34,17 @@
     public fun isBehind(newcomer: WaitingRequest, now: MonotonicInstant): Boolean =
         isPreceded(newcomer, now) { it.covers(newcomer.scope) }
 
-    /** Whether a waiting request goes before [newcomer] and may take the place in [region], at [replica] if known. */
+    /**
+     * Whether a waiting request goes before [newcomer] and may take the place in [region], at [replica] of [version] if
+     * these are known.
+     */
     public fun isClaimed(
         newcomer: WaitingRequest,
         region: RegionName,
         replica: ReplicaId?,
+        version: SoftwareVersion?,
         now: MonotonicInstant,
-    ): Boolean = isPreceded(newcomer, now) { it.permits(region, replica) }
+    ): Boolean = isPreceded(newcomer, now) { it.permits(region, replica, version) }
 
     private fun isPreceded(
         newcomer: WaitingRequest,
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/WaitingQueueTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/waiting/WaitingQueueTest.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.AccountName
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
@@ -79,11 +80,23 @@
         expectThat(queue.isBehind(request(homes = setOf("north")), start)).isTrue()
         expectThat(queue.isBehind(request(homes = setOf("south")), start)).isFalse()
         expectThat(queue.isBehind(request(), start)).isFalse()
-        expectThat(queue.isClaimed(request(), RegionName("north"), null, start)).isTrue()
-        expectThat(queue.isClaimed(request(), RegionName("south"), null, start)).isFalse()
+        expectThat(queue.isClaimed(request(), RegionName("north"), null, null, start)).isTrue()
+        expectThat(queue.isClaimed(request(), RegionName("south"), null, null, start)).isFalse()
         expectThat(queue.isBehind(request(rank = 0, homes = setOf("north")), start)).isFalse()
     }
 
+    // A request that waited for one software version kept the places of another one from those that could use them.
+    @Test
+    fun `a request that waits for one software version leaves the places of another one to others`() {
+        val waiting = request().let { it.copy(scope = it.scope.copy(version = SoftwareVersion("v1"))) }
+        queue.ticket(waiting, "waits for v1")
+        expectThat(queue.isBehind(request(), start)).isFalse()
+        expectThat(queue.isBehind(waiting, start)).isTrue()
+        val north = RegionName("north")
+        expectThat(queue.isClaimed(request(), north, null, SoftwareVersion("v2"), start)).isFalse()
+        expectThat(queue.isClaimed(request(), north, null, SoftwareVersion("v1"), start)).isTrue()
+    }
+
     @Test
     fun `where a request finds no place, only one with another scope or a much smaller one is tried`() {
         val large = queue.ticket(request(tokens = 10_000), "large")
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceQueues.kt
@@ -8,9 +8,7 @@
 import kotlinx.serialization.json.put
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
-import org.buckthornwheel.api.RegionName
 import org.buckthornwheel.api.ServiceName
-import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.waiting.CallerTimeLimits
 import org.buckthornwheel.decision.waiting.EntryResult
 import org.buckthornwheel.decision.waiting.RemovedTicket
@@ -91,8 +89,8 @@
 
     fun isBehind(request: WaitingRequest, now: MonotonicInstant): Boolean = queue.isBehind(request, now)
 
-    fun isClaimed(request: WaitingRequest, region: RegionName, replica: ReplicaId?, now: MonotonicInstant): Boolean =
-        queue.isClaimed(request, region, replica, now)
+    fun isClaimed(request: WaitingRequest, place: FoundPlace, now: MonotonicInstant): Boolean =
+        queue.isClaimed(request, place.region, place.replica, place.version, now)
 
     fun recordArrival(request: WaitingRequest, now: MonotonicInstant): Unit = queue.recordArrival(request, now)
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceWait.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlaceWait.kt
@@ -8,7 +8,9 @@
 import io.netty.util.concurrent.ScheduledFuture
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.decision.replica.Replica
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -22,13 +24,18 @@
     fun onWaitEnded(reason: String, wait: Duration, retryAfter: Duration?)
 }
 
+/** A place in [region], at [replica] of the software [version] if these are known. */
+internal class FoundPlace(val region: RegionName, val replica: ReplicaId?, val version: SoftwareVersion?) {
+    constructor(replica: Replica) : this(replica.region, replica.id, replica.version)
+}
+
 /** The wait of one request for places; used on the event loop of its caller's connection. */
 internal interface PlaceWait {
     /** Whether the request may look for a place now; if not, it waits or was rejected. */
     fun mayTry(now: MonotonicInstant): Boolean
 
-    /** Whether the request may take the place that it has found in [region], at [replica] if that is known. */
-    fun mayTake(region: RegionName, replica: ReplicaId?, now: MonotonicInstant): Boolean
+    /** Whether the request may take the [place] that it has found. */
+    fun mayTake(place: FoundPlace, now: MonotonicInstant): Boolean
 
     /** Called when the request has taken a place. */
     fun onTaken(now: MonotonicInstant)
@@ -50,7 +57,7 @@
 
     override fun mayTry(now: MonotonicInstant): Boolean = true
 
-    override fun mayTake(region: RegionName, replica: ReplicaId?, now: MonotonicInstant): Boolean = true
+    override fun mayTake(place: FoundPlace, now: MonotonicInstant): Boolean = true
 
     override fun onTaken(now: MonotonicInstant): Unit = Unit
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/PlacementStep.kt
@@ -104,7 +104,7 @@
         }
         val place = limited.choose(placed, emptySet(), now).place
         val isFree = place != null && place.decision.load.requests < place.decision.replica.slots &&
-            wait.mayTake(place.decision.replica.region, place.decision.replica.id, now)
+            wait.mayTake(FoundPlace(place.decision.replica), now)
         val verdict = context.hedges.tryHedge(policy.service, isFree, now)
         val permit = if (Hedging.isPermitted(context, verdict)) context.retries.take(policy.service, now) else null
         if (permit != null && place != null) return attempting(place, version, permit, now)
@@ -140,7 +140,7 @@
 
     private fun toReplica(place: ReplicaPlace, version: SoftwareVersion?, now: MonotonicInstant): PlacementResult {
         val replica = place.decision.replica
-        if (!wait.mayTake(replica.region, replica.id, now)) {
+        if (!wait.mayTake(FoundPlace(replica), now)) {
             place.claim.giveBack()
             return PlacementResult.Reserved
         }
@@ -183,7 +183,7 @@
         val reachable = context.hosts.primaries(decision.region, now).filter(history::permits)
         val host = reachable.filter { it.zone == decision.zone }.randomOrNull() ?: reachable.randomOrNull()
         if (host == null) return PlacementResult.NoPlace(wait = null)
-        if (!wait.mayTake(decision.region, replica = null, now)) return PlacementResult.Reserved
+        if (!wait.mayTake(FoundPlace(decision.region, replica = null, version), now)) return PlacementResult.Reserved
         val permit = permit(now) ?: return PlacementResult.RetryBudgetExhausted
         context.meters.forwarded()
         val attempt = PeerAttempt(context, proxiedRequest, host, permit, version, now)
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ProxiedRequest.kt
@@ -58,7 +58,7 @@
     val response = CallerResponse(context, request, sink, history, ::stopWaiting)
 
     private val wait: PlaceWait = context.queues.of(policy)
-        ?.let { QueuedWait(it, loop, request, history, homes, context.hosts.region, this) }
+        ?.let { QueuedWait(it, loop, request, history, homes, context.hosts.region, version, this) }
         ?: PolledWait(loop, policy, this)
     private val placement = PlacementStep(context, pool, request, history, this, wait)
     private val attempts = RunningAttempts()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/QueuedWait.kt
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.RegionName
-import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.waiting.ServingScope
 import org.buckthornwheel.decision.waiting.WaitingRejection
 import org.buckthornwheel.decision.waiting.WaitingRequest
@@ -19,6 +18,7 @@
     private val history: AttemptHistory,
     private val homes: HomesInForce,
     private val region: RegionName,
+    private val version: StreamVersion,
     private val owner: WaitingOwner,
 ) : PlaceWait {
     private val policy = request.policy
@@ -36,10 +36,10 @@
         return false
     }
 
-    override fun mayTake(region: RegionName, replica: ReplicaId?, now: MonotonicInstant): Boolean {
+    override fun mayTake(place: FoundPlace, now: MonotonicInstant): Boolean {
         if (ticket != null) return true
         val waiting = waitingRequest()
-        if (!queue.isClaimed(waiting, region, replica, now)) return true
+        if (!queue.isClaimed(waiting, place, now)) return true
         enter(waiting, UNKNOWN_WAIT, now)
         queue.onPlaceOpened(now)
         return false
@@ -95,6 +95,7 @@
             homes = if (policy.mayForward) homes.regions.orEmpty() else setOf(region),
             excludedRegions = history.rejectingRegions.toSet(),
             excludedReplicas = history.excludedReplicas.toSet(),
+            version = version.awaited(homes.regions.orEmpty()),
         ),
         tokens = request.metadata.promptTokens.toLong() +
             (request.metadata.expectedOutputTokens ?: request.metadata.outputTokens),
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/StreamVersion.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/StreamVersion.kt
@@ -57,6 +57,12 @@
         }
     }
 
+    /** The version for which the request waits; null if any will do, also since only one serves. */
+    fun awaited(homes: Set<RegionName>): SoftwareVersion? {
+        if (versions.current.inForce.versions.size <= 1) return null
+        return (required(homes, context.clock.now()) as? RequiredVersion.Only)?.version
+    }
+
     private fun newVersion(homes: Set<RegionName>, now: MonotonicInstant): RequiredVersion {
         countUnrecorded(now)
         val chosen = versions.ofNewStream(request.metadata.id, homes) ?: return RequiredVersion.NotYetKnown
