Show that a host behind a change of the shares joins two versions

What callers see: a stream that began by new shares at one host, and is taken up at once at a host that has not learned of the change, goes on at the other software version with a 200.

Cause: a host begins streams by new shares as soon as it learns of them. Another host that does not know them yet derives the version from the former shares alone; nothing tells it that they may be out of date. Watches differ by up to the batching delay of 200 ms, standby hosts by a heartbeat, and a host that is cut off from the store by any time.

Change: the test only.

--- /dev/null
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -0,0 +1,53 @@
+package org.buckthornwheel.decision.version
+
+import org.buckthornwheel.api.MonotonicInstant
+import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.RequestId
+import org.buckthornwheel.decision.replica.SoftwareVersion
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Streams that begin at one host and are taken up at another one that knows other shares. */
+internal class HostsBehindTest {
+    private val start = MonotonicInstant(0)
+    private val first = ServiceVersions()
+    private val second = ServiceVersions()
+
+    /** How many streams began at the version of [begunAt] and would go on at another one by [versions] at [now]. */
+    private fun joined(
+        begunAt: (RequestId) -> SoftwareVersion?,
+        versions: ServiceVersions,
+        age: Duration,
+        now: MonotonicInstant,
+    ): Int = STREAMS.count { stream ->
+        val found = versions.ofBegunStream(stream, emptySet(), StreamAge(RELEVANCE, age), now)
+        found is BegunStream.At && found.version != begunAt(stream)
+    }
+
+    // A host that learned of a change 100 ms after another one joined the streams that had begun there meanwhile.
+    @Test
+    fun `a stream does not go on at another version at a host that has not learned of a change yet`() {
+        val before = VersionHistory(1, listOf(OLD))
+        for (host in listOf(first, second)) host.applyStored(before, start)
+        val changedAt = start + 20.seconds
+        first.applyStored(before.with(BOTH), changedAt)
+        val begunAt = STREAMS.associateWith { first.ofNewStream(it, emptySet()) }
+        val now = changedAt + 100.milliseconds
+        expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
+    }
+
+    private companion object {
+        val RELEVANCE = 10.seconds
+        val STREAMS = List(1_000) { RequestId("request-$it") }
+        val OLD = shares("v1" to 4)
+        val BOTH = shares("v1" to 4, "v2" to 4)
+
+        fun shares(vararg counts: Pair<String, Int>) = VersionShares(
+            counts.associate { (version, count) -> SoftwareVersion(version) to mapOf(RegionName("north") to count) },
+        )
+    }
+}
