Show that a host which missed a returning version joins streams

What callers see: versions change from one to the other and back within seconds; a stream that began while the first one was back goes on at the other version at a host that missed the change in between.

Cause: such a host finds the same list of shares in the record as before, keeps the time at which it first learned that the earlier shares had been replaced, and that all hosts knew it, and takes a stream of their return for a newer one.

Change: the test only.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -40,6 +40,18 @@
         expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
     }
 
+    // A host that missed that a version had come back joined the streams that had begun by it meanwhile.
+    @Test
+    fun `a stream that began while a version was back does not go on at another one at a host that missed it`() {
+        first.applyStored(VersionHistory(2, listOf(OLD, BOTH)), start)
+        first.recordKnownEverywhere(2, start + 1.seconds)
+        val isBack = VersionHistory(3, listOf(BOTH, OLD))
+        second.applyStored(isBack, start + 15.seconds)
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet()) }
+        first.applyStored(isBack.with(BOTH), start + 16.seconds)
+        expectThat(joined(begunAt::get, first, 1_500.milliseconds, start + 16.seconds)).isEqualTo(0)
+    }
+
     private companion object {
         val RELEVANCE = 10.seconds
         val STREAMS = List(1_000) { RequestId("request-$it") }
