Show that a record from before a return of the store is not considered

What callers see: the store returns from a copy without the last records. A host that knows only the copy records a change by the number after it and begins streams by it. At hosts that know a higher number, these streams go on at another version.

Cause: a host ignores a stored record with a lower number than its own, though others begin streams by it until the higher one is written again, which takes from 200 ms to four seconds.

Change: the test only.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -52,6 +52,18 @@
         expectThat(joined(begunAt::get, first, 1_500.milliseconds, start + 16.seconds)).isEqualTo(0)
     }
 
+    // Once a store had returned from a copy, hosts knew shares of the same time that contradict each other.
+    @Test
+    fun `a stream that began by an older record after a return of the store does not go on at another version`() {
+        first.applyStored(VersionHistory(5, listOf(OLD)), start)
+        val returned = VersionHistory(2, listOf(OLD))
+        second.applyStored(returned, start + 1.seconds)
+        val recorded = returned.with(BOTH)
+        for (host in listOf(first, second)) host.applyStored(recorded, start + 20.seconds)
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet()) }
+        expectThat(joined(begunAt::get, first, 600.milliseconds, start + 20.seconds)).isEqualTo(0)
+    }
+
     private companion object {
         val RELEVANCE = 10.seconds
         val STREAMS = List(1_000) { RequestId("request-$it") }
