Count shares as just replaced after a missed change of the versions

What callers saw: after versions had changed back and forth within seconds, a stream went on at another version at a host that had missed the change in between.

Cause: the host kept the time at which it had first learned that the shares were replaced, and that all hosts knew that.

Change: if the number of the history does not follow that of the known one, all of its shares count as replaced at that moment.

Result: HostsBehindTest, the case of a version that was back: 500 of 1,000 streams joined before, none now. ServiceVersionsTest and VersionUpdatesTest pass.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -53,7 +53,12 @@
     }
 
     private fun replace(next: VersionHistory, now: MonotonicInstant) {
-        for (shares in history.shares + next.shares) replaced.putIfAbsent(shares, Replacement(now))
+        // Shares that were replaced before may have been in force again.
+        val hasMissedChanges = next != history && next.number != history.number + 1
+        for (shares in history.shares + next.shares) {
+            if (hasMissedChanges) replaced.remove(shares)
+            replaced.putIfAbsent(shares, Replacement(now))
+        }
         replaced.remove(next.inForce)
         history = next
     }
