Consider the shares of a record from before a return of the store

What callers saw: once the store had returned from a copy, streams that began at a host which knew only the copy went on at another version at hosts that knew a later record.

Cause: a stored record with a lower number than the known one was ignored, though other hosts begin streams by it until the later one is back.

Change: its shares count as replaced when it is read, so that streams that they would move do not go on. The later history stays in force and is written again, as before.

What remains: a host that starts after the later record was written again does not find the shares of the lower one in it.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -40,10 +40,18 @@
     /** Whether the store holds the history in force, as far as is known. */
     public val isStored: Boolean get() = synchronized(lock) { history.number > 0 && storedNumber == history.number }
 
-    /** Applies the history that the store holds, null if it holds none, unless a later one is in force. */
+    /**
+     * Applies the history that the store holds, null if it holds none. If a later one is in force, it stays so, and
+     * the stored one counts as replaced.
+     */
     public fun applyStored(stored: VersionHistory?, now: MonotonicInstant): Unit = synchronized(lock) {
         storedNumber = stored?.number ?: 0
-        if (stored != null && stored.number >= history.number) replace(stored, now)
+        when {
+            stored == null -> Unit
+            stored.number >= history.number -> replace(stored, now)
+            // Hosts that know no later history begin streams by it until the one in force is stored again.
+            else -> (stored.shares - history.inForce).forEach { replaced[it] = Replacement(now) }
+        }
     }
 
     /** Applies [counted], which this host counted itself, while the store holds no history. */
