Do not derive the age of a stream from a limit that is not the caller's

What callers saw: a caller that waits for longer than its route's limit took up a stream at a host that had just started, and it went on at another version.

Cause: the age was the longest limit seen, or the route's, less the time left; for a longer limit of the caller that is too little or negative.

Change: the age is unknown until a caller has begun a stream on the route here, and if more time is left than any caller had. Then streams count as old as the longest possible one, as without a time limit.

It costs no take-ups after a restart: streams from before it are older than the moment at which the host learned that all know the shares. What remains: a caller whose limit is longer than that of all others that began streams at this host, but has less than theirs left.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/StreamAge.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/StreamAge.kt
@@ -22,9 +22,14 @@
         longest.merge(route, limit, ::maxOf)
     }
 
-    /** The time that a caller of [route] has used if it still waits for [remaining]; [usual] is the route's limit. */
-    public fun used(route: String, usual: Duration, remaining: Duration): Duration =
-        maxOf(longest[route] ?: Duration.ZERO, usual) - remaining + TRANSIT_TIME
+    /**
+     * The time that a caller of [route] has used if it still waits for [remaining]; [usual] is the route's limit. Null
+     * if its own limit may be longer than the known ones.
+     */
+    public fun used(route: String, usual: Duration, remaining: Duration): Duration? {
+        val limit = maxOf(longest[route] ?: return null, usual)
+        return if (remaining > limit) null else limit - remaining + TRANSIT_TIME
+    }
 
     private companion object {
         /** Time that a request may spend on its way to a host, and a change of the shares on its way into force. */
