Let a registration tell the run of a replica that does not name it

What callers saw: resumable streams found no place, and take-ups were refused, at replicas that had answered an inquiry without naming their run.

Cause: such an answer counted as that of a later run until another run was registered, which never happens if none had started.

Change: only a named later run makes the known one uncertain for good. One that is not named does so for the warm-up time of its replica, within which its registration arrives.

Result: UnnamedRunTest: not certain after 57 s before, certain now; the case of a named later run stays uncertain. What remains: a replica that does not name its run, and restarts while the store is unavailable for longer than its warm-up time.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/RunDoubt.kt
@@ -22,7 +22,7 @@
     /** Whether there is a sign that no answer has explained. */
     val isUnanswered: Boolean get() = signAt != null
 
-    /** Whether a later run has answered that is not registered yet. */
+    /** Whether a later run has answered, and named itself, that is not registered yet. */
     val hasLaterRun: Boolean get() = hasRestarted
 
     /** Records a sign at [now] that the run has ended: its connections are lost, or it accepts none. */
@@ -46,7 +46,7 @@
     fun confirm(answering: Long?, asOf: MonotonicInstant, warmAt: MonotonicInstant): Boolean {
         if (answering == null || answering != laterRun) laterRunWarmAt = warmAt
         laterRun = answering
-        hasRestarted = true
+        if (answering != null) hasRestarted = true
         val sign = signAt
         if (sign != null && asOf < sign) return false
         signAt = null
