Begin streams by new shares only once other hosts can know them

What callers saw: a stream that began by new shares at one host, and was taken up within a moment at a host that had not learned of the change, went on at the other software version.

Cause: a host began streams by new shares as soon as it learned of them.

Change: new shares apply to new streams when all hosts know them, or 400 ms after this host has learned of them (a watch delays changes by 200 ms). A host that learns only later that all know them begins streams by the former ones for that time, which counts before these are left out. A host that has just started uses the recorded shares at once.

The case of a returned store in HostsBehindTest begins its streams after that time; without its fix it would fail as before. What remains: a host that learns of a change later than that, such as a standby host, or one that was frozen or is cut off.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -5,6 +5,7 @@
 import org.buckthornwheel.api.RequestId
 import org.buckthornwheel.decision.replica.SoftwareVersion
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 
 /** Which software version a stream that has begun goes on at. */
@@ -22,12 +23,18 @@
  * Load pattern: versions follow each other within seconds, and all hosts lose power meanwhile. A host that has just
  * started derives the version of a stream from the history that the store holds. Shares that were replaced count for as
  * long as a stream may still be taken up, from the moment at which this host learned of the change; no clock of another
- * host is involved, and a host that learned late has told wrong versions no longer than that.
+ * host is involved, and a host that learned late has told wrong versions no longer than that. New shares apply to new
+ * streams only a moment after they were learned, so that the other hosts, where such a stream may be taken up, know them
+ * too.
  */
 public class ServiceVersions {
     private val lock = Any()
     private var history = VersionHistory(0, emptyList())
     private var storedNumber = 0L
+    private var appliesFrom = MonotonicInstant(Long.MIN_VALUE)
+
+    /** The shares by which streams begin here until those in force apply. */
+    private var former = VersionShares.NONE
 
     /** When this host learned that shares had been replaced, and that every host has learned it. */
     private class Replacement(val learnedAt: MonotonicInstant, var everywhereAt: MonotonicInstant? = null)
@@ -68,18 +75,26 @@
             replaced.putIfAbsent(shares, Replacement(now))
         }
         replaced.remove(next.inForce)
+        if (next.inForce != history.inForce) {
+            former = applying(now)
+            appliesFrom = if (former.versions.isEmpty()) now else now + SPREADING_TIME
+        }
         history = next
     }
 
+    private fun applying(now: MonotonicInstant): VersionShares = if (now < appliesFrom) former else history.inForce
+
     /** Records that every host knows the history with [number] at [now], so that no stream begins by earlier ones. */
     public fun recordKnownEverywhere(number: Long, now: MonotonicInstant): Unit = synchronized(lock) {
         if (history.number != number) return@synchronized
-        replaced.values.filter { it.everywhereAt == null }.forEach { it.everywhereAt = now }
+        appliesFrom = minOf(appliesFrom, now)
+        // Another host may learn only later that all know it.
+        replaced.values.filter { it.everywhereAt == null }.forEach { it.everywhereAt = now + SPREADING_TIME }
     }
 
-    /** The version of the stream that the request [stream] begins, which only the regions [homes] may serve. */
-    public fun ofNewStream(stream: RequestId, homes: Set<RegionName>): SoftwareVersion? =
-        synchronized(lock) { history.inForce }.versionOf(stream, homes)
+    /** The version of the stream that [stream] begins at [now], which only the regions [homes] may serve. */
+    public fun ofNewStream(stream: RequestId, homes: Set<RegionName>, now: MonotonicInstant): SoftwareVersion? =
+        synchronized(lock) { applying(now) }.versionOf(stream, homes)
 
     /**
      * The version of the stream that the request [stream] began, at most [age] before [now]. Without [stream], it is
@@ -132,5 +147,8 @@
     private companion object {
         /** Replaced shares are forgotten after the longest time for which a manifest may let a stream last. */
         val LONGEST_RELEVANCE = 10.minutes
+
+        /** Time within which hosts in touch with the store learn of a change after one another. */
+        val SPREADING_TIME = 400.milliseconds
     }
 }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -35,11 +35,36 @@
         for (host in listOf(first, second)) host.applyStored(before, start)
         val changedAt = start + 20.seconds
         first.applyStored(before.with(BOTH), changedAt)
-        val begunAt = STREAMS.associateWith { first.ofNewStream(it, emptySet()) }
+        val begunAt = STREAMS.associateWith { first.ofNewStream(it, emptySet(), changedAt) }
         val now = changedAt + 100.milliseconds
         expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
     }
 
+    @Test
+    fun `streams begin by new shares once all hosts know them, or had time to learn of them`() {
+        for (host in listOf(first, second)) host.applyStored(VersionHistory(1, listOf(OLD)), start)
+        val changedAt = start + 20.seconds
+        for (host in listOf(first, second)) host.applyStored(VersionHistory(2, listOf(OLD, BOTH)), changedAt)
+        first.recordKnownEverywhere(2, changedAt)
+        expectThat(first.newStreamsOfLatest(changedAt)).isEqualTo(500)
+        expectThat(second.newStreamsOfLatest(changedAt)).isEqualTo(0)
+        expectThat(second.newStreamsOfLatest(changedAt + 1.seconds)).isEqualTo(500)
+    }
+
+    private fun ServiceVersions.newStreamsOfLatest(now: MonotonicInstant): Int =
+        STREAMS.count { ofNewStream(it, emptySet(), now) == SoftwareVersion("v2") }
+
+    // A stream that began by former shares, at a host that learned last that all knew the new ones, was joined.
+    @Test
+    fun `a stream that began by former shares just after all hosts knew the new ones does not go on elsewhere`() {
+        for (host in listOf(first, second)) host.applyStored(VersionHistory(1, listOf(BOTH)), start)
+        val changedAt = start + 20.seconds
+        for (host in listOf(first, second)) host.applyStored(VersionHistory(2, listOf(BOTH, OLD)), changedAt)
+        first.recordKnownEverywhere(2, changedAt)
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet(), changedAt + 300.milliseconds) }
+        expectThat(joined(begunAt::get, first, 600.milliseconds, changedAt + 800.milliseconds)).isEqualTo(0)
+    }
+
     // A host that missed that a version had come back joined the streams that had begun by it meanwhile.
     @Test
     fun `a stream that began while a version was back does not go on at another one at a host that missed it`() {
@@ -47,7 +72,7 @@
         first.recordKnownEverywhere(2, start + 1.seconds)
         val isBack = VersionHistory(3, listOf(BOTH, OLD))
         second.applyStored(isBack, start + 15.seconds)
-        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet()) }
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet(), start + 15.seconds) }
         first.applyStored(isBack.with(BOTH), start + 16.seconds)
         expectThat(joined(begunAt::get, first, 1_500.milliseconds, start + 16.seconds)).isEqualTo(0)
     }
@@ -60,8 +85,9 @@
         second.applyStored(returned, start + 1.seconds)
         val recorded = returned.with(BOTH)
         for (host in listOf(first, second)) host.applyStored(recorded, start + 20.seconds)
-        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet()) }
-        expectThat(joined(begunAt::get, first, 600.milliseconds, start + 20.seconds)).isEqualTo(0)
+        val now = start + 21.seconds
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet(), now) }
+        expectThat(joined(begunAt::get, first, 600.milliseconds, now)).isEqualTo(0)
     }
 
     private companion object {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/StreamVersion.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/StreamVersion.kt
@@ -65,7 +65,7 @@
 
     private fun newVersion(homes: Set<RegionName>, now: MonotonicInstant): RequiredVersion {
         countUnrecorded(now)
-        val chosen = versions.ofNewStream(request.metadata.id, homes) ?: return RequiredVersion.NotYetKnown
+        val chosen = versions.ofNewStream(request.metadata.id, homes, now) ?: return RequiredVersion.NotYetKnown
         return RequiredVersion.Only(chosen)
     }
 
