--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -24,8 +24,8 @@
  * started derives the version of a stream from the history that the store holds. Shares that were replaced count for as
  * long as a stream may still be taken up, from the moment at which this host learned of the change; no clock of another
  * host is involved, and a host that learned late has told wrong versions no longer than that. New shares apply to new
- * streams only a moment after they were learned, so that the other hosts, where such a stream may be taken up, know them
- * too.
+ * streams only a moment after they were learned, so that the other hosts, where such a stream may be taken up, know
+ * them too.
  */
 public class ServiceVersions {
     private val lock = Any()
