Show that a host that is cut off joins streams of versions it has missed

What callers see: a host that neither the store nor other hosts reach, but callers do, takes a stream up at the version that its old shares give it, and not at the one that began it.

Cause: a host derives versions from the shares that it knows, however long ago it last learned that they are current. The same holds for a host that was frozen, until it has read what it missed.

Change: the test only. A fix: the time of the last proof that the shares are current (an answer of the store, or a heartbeat with no higher revision) goes into ServiceVersions, and a take-up that the host does not remember is refused if that is longer ago than the time after which new shares apply.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -40,6 +40,17 @@
         expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
     }
 
+    // A host that was cut off while the versions changed joined the streams that callers took up there.
+    @Test
+    fun `a stream does not go on at another version at a host that has been cut off for seconds`() {
+        val before = VersionHistory(1, listOf(OLD))
+        for (host in listOf(first, second)) host.applyStored(before, start)
+        first.applyStored(before.with(BOTH), start + 20.seconds)
+        val now = start + 25.seconds
+        val begunAt = STREAMS.associateWith { first.ofNewStream(it, emptySet(), now) }
+        expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
+    }
+
     @Test
     fun `streams begin by new shares once all hosts know them, or had time to learn of them`() {
         for (host in listOf(first, second)) host.applyStored(VersionHistory(1, listOf(OLD)), start)
