A host that may have missed changes goes on only with streams that it relayed

Cause: a host derived versions from the shares that it knew, however long ago it had last learned that they were current. Evidence: HostsBehindTest, the case of a host that has been cut off for seconds: 500 of 1,000 streams joined before. Change: an answer of the store, or a heartbeat that names no later revision, shows that the host is current. Without one for 5 s, the longest wait of a watch and a second, a take-up that the host does not remember is refused. The other cases of HostsBehindTest and those of ServiceVersionsTest now say that their host is in touch, so that they still show what they were written for.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -7,6 +7,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** Which software version a stream that has begun goes on at. */
 public sealed interface BegunStream {
@@ -31,6 +32,7 @@
     private val lock = Any()
     private var history = VersionHistory(0, emptyList())
     private var storedNumber = 0L
+    private var currentAt = MonotonicInstant(Long.MIN_VALUE)
     private var appliesFrom = MonotonicInstant(Long.MIN_VALUE)
 
     /** The shares by which streams begin here until those in force apply. */
@@ -53,6 +55,7 @@
      */
     public fun applyStored(stored: VersionHistory?, now: MonotonicInstant): Unit = synchronized(lock) {
         storedNumber = stored?.number ?: 0
+        currentAt = now
         when {
             stored == null -> Unit
             stored.number >= history.number -> replace(stored, now)
@@ -63,6 +66,7 @@
 
     /** Applies [counted], which this host counted itself, while the store holds no history. */
     public fun applyCounted(counted: VersionShares, now: MonotonicInstant): Unit = synchronized(lock) {
+        if (history.number == 0L) currentAt = now
         val isKnown = history.number > 0 || history.inForce.isNear(counted)
         if (!isKnown) replace(VersionHistory(0, listOf(counted)), now)
     }
@@ -84,6 +88,9 @@
 
     private fun applying(now: MonotonicInstant): VersionShares = if (now < appliesFrom) former else history.inForce
 
+    /** Records that this host missed no change of the estate up to [now]. */
+    public fun recordCurrent(now: MonotonicInstant): Unit = synchronized(lock) { currentAt = now }
+
     /** Records that every host knows the history with [number] at [now], so that no stream begins by earlier ones. */
     public fun recordKnownEverywhere(number: Long, now: MonotonicInstant): Unit = synchronized(lock) {
         if (history.number != number) return@synchronized
@@ -98,7 +105,7 @@
 
     /**
      * The version of the stream that the request [stream] began, at most [age] before [now]. Without [stream], it is
-     * known only if a single version has served since.
+     * known only if a single version has served since. A host that may have missed changes knows of none.
      */
     public fun ofBegunStream(
         stream: RequestId?,
@@ -107,6 +114,7 @@
         now: MonotonicInstant,
     ): BegunStream {
         val possible = synchronized(lock) {
+            if (now > currentAt + CURRENT_FOR) return BegunStream.Unknown
             replaced.values.removeIf { now - it.learnedAt > maxOf(age.longest, LONGEST_RELEVANCE) }
             (history.shares + replaced.keys).filter { it == history.inForce || mayHaveBegun(it, age, now) }
         }
@@ -148,6 +156,9 @@
         /** Replaced shares are forgotten after the longest time for which a manifest may let a stream last. */
         val LONGEST_RELEVANCE = 10.minutes
 
+        /** The longest interval between two proofs at a host in touch: the wait of a watch, and some room. */
+        val CURRENT_FOR = 5.seconds
+
         /** Time within which hosts in touch with the store learn of a change after one another. */
         val SPREADING_TIME = 400.milliseconds
     }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/StreamVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/StreamVersions.kt
@@ -1,5 +1,6 @@
 package org.buckthornwheel.decision.version
 
+import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
 import java.util.concurrent.ConcurrentHashMap
 
@@ -17,6 +18,9 @@
     @Volatile
     public var awaitsRecords: Boolean = false
 
+    /** Records that this host missed no change of the estate up to [now]. */
+    public fun recordCurrent(now: MonotonicInstant): Unit = services.values.forEach { it.recordCurrent(now) }
+
     /** The versions of [service]. */
     public fun of(service: ServiceName): ServiceVersions = services.computeIfAbsent(service) { ServiceVersions() }
 }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -17,15 +17,23 @@
     private val first = ServiceVersions()
     private val second = ServiceVersions()
 
-    /** How many streams began at the version of [begunAt] and would go on at another one by [versions] at [now]. */
+    /**
+     * How many streams began at the version of [begunAt] and would go on at another one by [versions] at [now].
+     *
+     * @param isInTouch whether the host believes that it knows all changes.
+     */
     private fun joined(
         begunAt: (RequestId) -> SoftwareVersion?,
         versions: ServiceVersions,
         age: Duration,
         now: MonotonicInstant,
-    ): Int = STREAMS.count { stream ->
-        val found = versions.ofBegunStream(stream, emptySet(), StreamAge(RELEVANCE, age), now)
-        found is BegunStream.At && found.version != begunAt(stream)
+        isInTouch: Boolean = true,
+    ): Int {
+        if (isInTouch) versions.recordCurrent(now)
+        return STREAMS.count { stream ->
+            val found = versions.ofBegunStream(stream, emptySet(), StreamAge(RELEVANCE, age), now)
+            found is BegunStream.At && found.version != begunAt(stream)
+        }
     }
 
     // A host that learned of a change 100 ms after another one joined the streams that had begun there meanwhile.
@@ -48,7 +56,7 @@
         first.applyStored(before.with(BOTH), start + 20.seconds)
         val now = start + 25.seconds
         val begunAt = STREAMS.associateWith { first.ofNewStream(it, emptySet(), now) }
-        expectThat(joined(begunAt::get, second, 600.milliseconds, now)).isEqualTo(0)
+        expectThat(joined(begunAt::get, second, 600.milliseconds, now, isInTouch = false)).isEqualTo(0)
     }
 
     @Test
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/ServiceVersionsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/ServiceVersionsTest.kt
@@ -26,8 +26,11 @@
         counts.associate { (version, count) -> SoftwareVersion(version) to mapOf(RegionName("north") to count) },
     )
 
-    private fun begun(stream: RequestId?, at: MonotonicInstant, age: Duration? = null) =
-        versions.ofBegunStream(stream, emptySet(), StreamAge(RELEVANCE, age), at)
+    /** Where the stream goes on at a host that is in touch. */
+    private fun begun(stream: RequestId?, at: MonotonicInstant, age: Duration? = null): BegunStream {
+        versions.recordCurrent(at)
+        return versions.ofBegunStream(stream, emptySet(), StreamAge(RELEVANCE, age), at)
+    }
 
     @Nested
     inner class `given a host that has just started` {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -207,7 +207,7 @@
             AccountSharing(quotas),
             ReplicaLimitSharing(sharedReplicaLimits, replicaLimits, replicas),
             { routingState.manifest?.version?.value ?: 0 },
-            versionSharing.reported,
+            { host, revision -> versionSharing.recordReported(host, revision, estate.revision) },
         ),
         log,
         clock,
@@ -261,6 +261,9 @@
     public fun versionsRecorded(service: ServiceName, history: VersionHistory?, revision: EstateRevision): Unit =
         versionSharing.applyStored(service, history, revision)
 
+    /** Records that this host has just learned of all changes of the estate. */
+    public fun estateCurrent(): Unit = versions.recordCurrent(clock.now())
+
     /** Adds a prompt [part] that a host quarantined [age] ago, according to the adapter's records. */
     public fun quarantineRecorded(part: String, age: Duration): Unit =
         quarantineSharing.addRecorded(part, age, clock.now())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/VersionSharing.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/VersionSharing.kt
@@ -1,6 +1,7 @@
 package org.buckthornwheel.forwarding.host
 
 import kotlinx.serialization.json.put
+import org.buckthornwheel.api.HostName
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.api.MonotonicInstant
 import org.buckthornwheel.api.ServiceName
@@ -30,7 +31,7 @@
     private val onDue: (ServiceName, VersionHistory) -> Unit,
 ) {
     val versions = StreamVersions()
-    val reported = ReportedRevisions()
+    private val reported = ReportedRevisions()
     private val recorded = ConcurrentHashMap<ServiceName, Recorded>()
     private val updates = VersionUpdates(versions, replicas, ::isRecorder, patience(self))
 
@@ -43,6 +44,12 @@
         if (history == null) recorded.remove(service) else recorded[service] = Recorded(history.number, revision)
     }
 
+    /** Records that [host] knows all changes up to [revision], and this one those up to [own]. */
+    fun recordReported(host: HostName, revision: EstateRevision, own: EstateRevision) {
+        reported.record(host, revision)
+        if (revision <= own) versions.recordCurrent(clock.now())
+    }
+
     /** An exception would end the periodic task that calls this. */
     fun updateAndLogFailure() {
         try {
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -33,7 +33,7 @@
 /**
  * What the heartbeats of this host report: whether it serves callers and client accounts, its estate revision and the
  * version of its manifest, the quarantine, the use of accounts, and the limits of replicas. What other hosts say of
- * their revisions is recorded in [reported].
+ * their revisions is passed to [onReported].
  */
 internal class LocalHostState(
     val isReady: () -> Boolean,
@@ -43,7 +43,7 @@
     val accounts: AccountSharing,
     val limits: ReplicaLimitSharing,
     val manifestVersion: () -> Long,
-    val reported: ReportedRevisions,
+    val onReported: (HostName, EstateRevision) -> Unit,
 )
 
 /** Sends this host's heartbeats to the hosts that need them, and processes the heartbeats of other hosts. */
@@ -188,7 +188,7 @@
                 put("incarnation", heartbeat.sender.incarnation.value)
             }
         }
-        local.reported.record(heartbeat.sender.name, heartbeat.estateRevision)
+        local.onReported(heartbeat.sender.name, heartbeat.estateRevision)
         recovery.onHeartbeat(heartbeat.sender.host, heartbeat.estateRevision, heartbeat.manifestVersion, now)
         heartbeat.activity?.let { applyActivity(heartbeat.sender.name, it, now) }
         heartbeat.leaving?.let { recordLeaving(it, heartbeat.sender.name) }
