--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartWithoutColdLimitTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/RestartWithoutColdLimitTest.kt
@@ -19,7 +19,7 @@
     @AfterEach
     fun close() = resources.forEach { it.close() }
 
-    // A stream went on at a run of another version, since only services that limit cold replicas had their runs doubted.
+    // A stream went on at a run of another version, since its service limits no cold replicas.
     @Test
     fun `the run of a replica that lost its connections is not certain although its service limits no cold replicas`() {
         val replica = ScriptedReplica {
