Do not remember streams with very long request identifiers

What operators saw: a caller that chooses identifiers of several thousand characters took tens of megabytes of each host that relayed its streams.

Change: a host remembers the beginning of a stream only if its identifier has at most 128 characters. The version of any other stream follows from the shares, as at a host that did not relay it, or the take-up is refused.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/BegunStreams.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/BegunStreams.kt
@@ -11,8 +11,12 @@
 public class BegunStreams(private val maximum: Int = MAXIMUM_STREAMS) {
     private val origins = LinkedHashMap<RequestId, StreamOrigin>()
 
-    /** Records that the first event of the stream of [request] came from [origin]. */
+    /**
+     * Records that the first event of the stream of [request] came from [origin]. A stream with a very long identifier
+     * is not remembered; its version follows from the shares.
+     */
     public fun record(request: RequestId, origin: StreamOrigin): Unit = synchronized(origins) {
+        if (request.value.length > MAXIMUM_IDENTIFIER_LENGTH) return
         origins[request] = origin
         if (origins.size > maximum) origins.remove(origins.keys.first())
     }
@@ -23,5 +27,8 @@
     private companion object {
         /** The streams of some ten seconds at a busy host, in less than a megabyte. */
         const val MAXIMUM_STREAMS = 4_096
+
+        /** Callers choose identifiers, and usual ones are shorter. */
+        const val MAXIMUM_IDENTIFIER_LENGTH = 128
     }
 }
