A host says that it is ready only once callers can connect

What callers saw: take-ups that were sent as soon as a host that had just started said that it was ready got no answer (13 of 60 in one run of ResumedStreamsTest at a load of 19; the first of those sent, at one host). Cause, by reading: the readiness endpoint was opened before the listener of callers, and the manifest may be known between the two. Change: the listener of callers is opened first. Result: the tests of the class passed before and after this change in the next runs, so that the failure was met once and the cause is presumed.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -232,13 +232,14 @@
         listeners += factory.openProxy(settings.self.peerAddress, limits.peers.group) {
             InboundConnection(it, peerStarter(it.eventLoop()), peerResources)
         }
-        openEndpoint(factory, settings.readinessAddress, "readiness", endpoints.readiness { isReady })
-        openEndpoint(factory, settings.directoryAddress, "directory", endpoints.directory(directory()))
-        openEndpoint(factory, settings.metricsAddress, "metrics") { _, _ -> EndpointResponse(OK, body = meters.text()) }
         val startup = StartupAdmission(clock.now())
         listeners += factory.openProxy(settings.self.callerAddress, limits.callers.group) {
             InboundConnection(it, callerStarter(it.eventLoop(), startup), callerResources)
         }
+        // The platform sends callers to a host as soon as it says that it is ready.
+        openEndpoint(factory, settings.readinessAddress, "readiness", endpoints.readiness { isReady })
+        openEndpoint(factory, settings.directoryAddress, "directory", endpoints.directory(directory()))
+        openEndpoint(factory, settings.metricsAddress, "metrics") { _, _ -> EndpointResponse(OK, body = meters.text()) }
         limits.startRelieving(loops)
         val timer = loops.next()
         timer.scheduleWithFixedDelay(::closeIdleTargets, 1, 1, TimeUnit.SECONDS)
