--- a/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/manifest/Manifest.kt
@@ -8,9 +8,12 @@
 package org.buckthornwheel.decision.manifest
 
 import org.buckthornwheel.api.RegionName
+import org.buckthornwheel.api.RequestId
 import org.buckthornwheel.api.ServiceName
 import org.buckthornwheel.decision.account.ClientAccount
+import org.buckthornwheel.decision.routing.RendezvousHash
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The version of a manifest; a higher version replaces a lower one. */
 @JvmInline
@@ -45,6 +48,13 @@
         .groupBy({ it.first }, { it.second })
         .mapValues { (_, list) -> shortestOfEachPriority(list) }
 
+    /** The services whose streams callers may take up again, and how long after its beginning that may happen. */
+    public val streamRelevance: Map<ServiceName, Duration> = routes
+        .filter { it.kind == RouteKind.STREAMING && it.isResumable }
+        .flatMap { route -> route.split.map { it.service to route.timeout } }
+        .groupBy({ it.first }, { it.second })
+        .mapValues { (_, timeouts) -> timeouts.max() * 2 + TAKE_UP_DELAY }
+
     private fun shortestOfEachPriority(list: List<Route>): List<Route> =
         list.groupBy { it.priority }.values.map { same -> same.minBy { it.targetLatency } }
 
@@ -58,6 +68,11 @@
 
     /** The routes of [hostName]. */
     public fun routesOf(hostName: String): List<Route> = routesByHost[hostName].orEmpty()
+
+    private companion object {
+        /** Time for a change of the software versions to reach all hosts, and for a caller to return. */
+        val TAKE_UP_DELAY = 2.seconds
+    }
 }
 
 /** Determines whether requests of a route may be sent again after a failure. */
@@ -96,6 +111,9 @@
     public val isRepeatable: Boolean
         get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && isResumable)
 
+    /** The service for the stream that the request [stream] began, which stays the same when it is taken up again. */
+    public fun service(stream: RequestId): ServiceName = service(RendezvousHash.fraction(stream.value, name))
+
     /** The service for a request, chosen by weight with the random number [fraction] from 0 to 1. */
     public fun service(fraction: Double): ServiceName {
         val total = split.sumOf { it.weight }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ReplicaAttempt.kt
@@ -17,6 +17,7 @@
 import org.buckthornwheel.decision.replica.ReplicaId
 import org.buckthornwheel.decision.replica.ReplicaLoad
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.decision.replica.SoftwareVersion
 import org.buckthornwheel.forwarding.connection.ConnectFailure
 import org.buckthornwheel.forwarding.connection.ConnectionFailure
 import org.buckthornwheel.forwarding.connection.ResponseListener
@@ -35,6 +36,7 @@
     private val decision: PlacementDecision.Local,
     claim: ReplicaClaim,
     private val permit: RetryPermit,
+    isBoundToVersion: Boolean,
     private val startedAt: MonotonicInstant,
 ) : Attempt,
     ResponseListener {
@@ -45,7 +47,7 @@
         prefillTokens = decision.missingTokens.toLong(),
     )
     private val run = ReplicaRun(decision.replica.id, decision.replica.startedAt)
-    private val permission = SendPermission(context, proxiedRequest, state, decision.replica, claim)
+    private val permission = SendPermission(context, proxiedRequest, state, decision.replica, isBoundToVersion, claim)
     private val announcements = ReplicaAnnouncements(context, state, run, proxiedRequest.metadata.id, startedAt)
     private var connection: TargetConnection? = null
     private var isFramed = false
@@ -58,6 +60,8 @@
     var hasStartedResponding: Boolean = false
         private set
 
+    override val version: SoftwareVersion get() = decision.replica.version
+
     /** The replica that the request is sent to. */
     val replica: ReplicaId get() = decision.replica.id
 
@@ -76,6 +80,7 @@
             put("missing", decision.missingTokens)
             put("load", decision.load.requests)
             put("memory", decision.load.tokens)
+            put("version", version.value)
             put("parts", sharedPartsText())
             decision.fetchFrom?.let { put("fetch", it.id.value) }
             lastEventId?.let { put("after", it) }
