Show that a record that is written again omits what it replaces

What callers see: after the store has returned from a copy, a host writes the later record again over one by which streams have begun meanwhile. At a host that starts then, such a stream goes on at another version.

Cause: the record is written again as it was. The shares of the one that it replaces are known only to the hosts that have seen it.

Change: the test only.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/HostsBehindTest.kt
@@ -109,6 +109,20 @@
         expectThat(joined(begunAt::get, first, 600.milliseconds, now)).isEqualTo(0)
     }
 
+    // A host that started after a later record had been written again did not know the shares of the one in between.
+    @Test
+    fun `a stream that began by an older record after a return of the store does not go on at a host that starts`() {
+        first.applyStored(VersionHistory(5, listOf(OLD)), start)
+        val recorded = VersionHistory(3, listOf(OLD, BOTH))
+        second.applyStored(recorded, start + 1.seconds)
+        first.applyStored(recorded, start + 1.seconds)
+        val now = start + 2.seconds
+        val begunAt = STREAMS.associateWith { second.ofNewStream(it, emptySet(), now) }
+        val third = ServiceVersions()
+        third.applyStored(first.successor(OLD, RELEVANCE, now) ?: first.current, now)
+        expectThat(joined(begunAt::get, third, 600.milliseconds, now)).isEqualTo(0)
+    }
+
     private companion object {
         val RELEVANCE = 10.seconds
         val STREAMS = List(1_000) { RequestId("request-$it") }
