Write the shares of a record that is replaced into the later one

What callers saw: after the store had returned from a copy, a later record was written again over one by which streams had begun meanwhile. At a host that started then, such a stream went on at another version.

Cause: the record was written again as it was.

Change: a history that the store does not hold is written with all replaced shares that the host knows and that are still relevant. It gets the next number then.

What remains: all hosts lose power before the later record has been written again, or two hosts write different records with one number.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -140,11 +140,12 @@
         synchronized(lock) {
             if (counted.versions.isEmpty()) return@synchronized null
             val isOver = { shares: VersionShares -> replaced[shares]?.let { now - it.learnedAt > relevance } ?: false }
+            val missing = if (isStored) emptyList() else replaced.keys.filterNot(isOver) - history.shares.toSet()
+            val complete = VersionHistory(history.number, missing + history.shares)
             when {
-                history.number == 0L || !history.inForce.isNear(
-                    counted,
-                ) -> history.without(isOver).with(counted, history)
-                history.shares.dropLast(1).any(isOver) -> history.without(isOver)
+                history.number == 0L || !history.inForce.isNear(counted) ->
+                    complete.without(isOver).with(counted, history)
+                missing.isNotEmpty() || history.shares.dropLast(1).any(isOver) -> complete.without(isOver)
                 else -> null
             }
         }
