A change of protocol that was not asked for breaks the attempt at once

What callers saw: a request whose replica responds with 101 was held until its deadline and got 504 (after 4 s in the test); an idempotent one was not repeated.

Cause: an informational response is discarded while the final one is awaited; but after 101 the decoder hands on raw bytes in the place of a response, so the final one never came. The host strips Upgrade from requests, so no replica may answer 101. Ruled out: 100, 102, 103 and 199, after which the final response is decoded and relayed.

Evidence: ImpossibleStatusTest, "a change of protocol that was not asked for is no answer", red before (504 where 502 is due).

Change: the connection fails at a head with 101, as at other bytes that are no response.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/connection/TargetConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -107,6 +108,7 @@
         val receiver = listener ?: return fail("bytes after the response")
         idleBefore = null
         if (head.decoderResult().isFailure) return fail("invalid response head: ${head.decoderResult().cause()}")
+        if (head.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("change of protocol not asked for")
         isDiscarding = head.status().codeClass() == HttpStatusClass.INFORMATIONAL || !receiver.accepts(head)
         isBodyExpected = true
         if (!HttpUtil.isKeepAlive(head)) mayReuse = false
