A response of status 205 with a body is no answer

What callers saw: a replica's response of status 205 with a body as a success with the replica's signature and without the body.

Cause: no response of that status has a body (RFC 9110, section 15.3.6), and the encoder to the caller drops one; the decoder of the replica's response reads it, and the relay passed it on. Ruled out: 204 and 304, whose heads end the response for the decoder, too: bytes after them reach no caller, and the connection is not used again.

Evidence: ImpossibleStatusTest, "a response of status 205 with a body is no answer", red before on all three kinds of routes.

Change: the relay takes any body for too long a one under that status, so that the attempt is broken, at the host beside the replica and at one that forwards.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -65,6 +65,8 @@
             return RelayResult.USABLE
         }
         body.addComponent(true, content)
+        // The encoder drops such a body, so that the caller would get a success without it.
+        if (status == HttpResponseStatus.RESET_CONTENT) return RelayResult.TOO_LONG
         if (mayBuffer(body.readableBytes()) || response.hasBegunStream) return RelayResult.USABLE
         if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
         streamBuffered(body)
