The client of services takes no number that is no status for an answer

What was seen: the client that calls the store takes a response with 000, 099, 600 or 999 in the place of its status for an answer of the store, and uses the connection again.

Cause: that of the responses of replicas; this client has a decoder of its own.

Change: the client uses the decoder of the connections to replicas and hosts. It sends neither HEAD nor CONNECT, for which the client codec of the library keeps the method of each request.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
@@ -17,14 +17,15 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
 import org.buckthornwheel.api.NetworkAddress
+import org.buckthornwheel.forwarding.connection.ResponseDecoder
 import org.buckthornwheel.forwarding.listener.KeepAliveOptions
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
@@ -105,7 +106,8 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(), HttpObjectAggregator(MAXIMUM_RESPONSE_BYTES))
+                    channel.pipeline()
+                        .addLast(HttpRequestEncoder(), ResponseDecoder(), HttpObjectAggregator(MAXIMUM_RESPONSE_BYTES))
                 }
             })
         KeepAliveOptions.set { option, value -> bootstrap.option(option, value) }
