The client of services waits for the answer after an informational response

What was seen: with 102 before the answer, the client that calls the store takes 102 for the answer; the answer itself arrives on a connection that counts as idle, and is taken for that of the next call.

Cause: the first complete message of a connection ended the call.

Change: informational responses are passed over; the timeout of the call holds while they arrive.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/client/HttpServiceClient.kt
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.concurrent.ScheduledFuture
@@ -141,6 +142,7 @@
 
     private inner class Receiver(private val pending: Pending) : SimpleChannelInboundHandler<FullHttpResponse>() {
         override fun channelRead0(context: ChannelHandlerContext, response: FullHttpResponse) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) return
             val isReadable = response.decoderResult().isSuccess
             context.pipeline().remove(this)
             if (!isReadable) return pending.fail("invalid response")
