A response without chunks or length is reset unless it is complete

What callers saw: a caller of HTTP/1.0, whose response ends with its connection, took a part of it for the whole when its host ended in the middle of it, and when it had read nothing for longer than the idle timeout (3,997,696 of 30,000,000 bytes and an orderly end).

Cause: only the abort of a response reset the connection; every other close in the middle of one (a caller that has stalled, an error of the connection, the end of the event loop or of the process) is an orderly one. Ruled out: the end of a replica and the deadline of the request, which abort.

Evidence: TruncatedHttp10ResponseTest, 2 of 6 red before.

Change: from the head of such a response until all of it is written, the connection is set to be reset by any close, whoever closes it; the system itself does so for a process that is killed.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/InboundConnection.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
@@ -183,12 +182,18 @@
     }
 
     override fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
-        if (isHttp10) keepsAlive = false else headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (isHttp10) endWithConnection() else headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         // A stopping host does not announce the end here, since requests may still arrive behind the stream.
         if (!keepsAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         context.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers))
     }
 
+    /** Without chunks, an orderly close would mark the response as complete, whoever closes before its end. */
+    private fun endWithConnection() {
+        keepsAlive = false
+        if (channel.isOpen) channel.config().soLinger = RESET_ON_CLOSE
+    }
+
     override fun stream(content: ByteBuf) {
         unwritten.written(context.writeAndFlush(DefaultHttpContent(content)))
         if (!isWritable) proxiedRequest?.setReading(false)
@@ -201,8 +206,6 @@
     override fun abort() {
         isClosing = true
         proxiedRequest = null
-        // Without chunks, an orderly close would mark the response as complete.
-        if (isHttp10) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         context.close()
     }
 
@@ -240,6 +243,7 @@
     /** Half-closes, since closing with unread bytes would reset the connection and lose the last response. */
     private fun halfClose() {
         if (!channel.isActive) return
+        channel.config().soLinger = CLOSE_IN_ORDER
         channel.shutdownOutput()
         timer.schedule(resources.limits().headerTimeout) { channel.close() }
     }
@@ -304,6 +308,10 @@
     }
 
     private companion object {
+        /** Values of SO_LINGER. */
+        const val RESET_ON_CLOSE = 0
+        const val CLOSE_IN_ORDER = -1
+
         /** Interval between checks whether a waiting request can be started; small compared to a target latency. */
         val START_CHECK_INTERVAL = 10.milliseconds
 
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/TruncatedHttp10ResponseTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/TruncatedHttp10ResponseTest.kt
@@ -117,7 +117,7 @@
     private companion object {
         const val PAUSE_MILLISECONDS = 50L
 
-        /** More than the idle timeout and two of the checks that the host makes once a second; less than the deadline. */
+        /** More than the idle timeout and two checks, one a second; less than the deadline. */
         const val STALL_MILLISECONDS = 3_500L
         const val VERY_LONG_PIECES = 100
 
