ResetDuringUploadTest: uploads of which most is unsent at the reset

Uploads of 3 MB fit into the buffers of the connections, so that the host has handed all of them to the system when the response breaks off. With 12 MB the write itself fails, and the reason of the failure is then not told by the next read: the way in which a part could look complete.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ResetDuringUploadTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ResetDuringUploadTest.kt
@@ -22,7 +22,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 internal class ResetDuringUploadTest {
-    private val limits = CallerLimits(16_384, 4_000_000, headerTimeout = 4.seconds, idleTimeout = 4.seconds)
+    private val limits = CallerLimits(16_384, 16_000_000, headerTimeout = 4.seconds, idleTimeout = 4.seconds)
     private val north = RunningHost("north-1", "north", callerLimits = limits, retryAllowance = 1_000.0)
     private val south = RunningHost(
         "south-1",
@@ -33,6 +33,8 @@
     )
     private var replica: ScriptedReplica? = null
     private var registrations = 0
+    private var bodyBytes = HELD_BODY_BYTES
+    private var uploads = 3
 
     @AfterEach
     fun close() {
@@ -65,14 +67,14 @@
     }
 
     /** A body of its own for each request, since contents that seem to end replicas are quarantined. */
-    private fun bodyOf(id: String): String = id.padEnd(BODY_BYTES, 'b')
+    private fun bodyOf(id: String): String = id.padEnd(bodyBytes, 'b')
 
     /** The paths whose response looks complete to a caller of [host]. */
     private fun completeAt(
         host: RunningHost,
         target: ScriptedReplica,
         upload: RawCaller.(path: String, id: String) -> Unit,
-    ): List<String> = listOf("/act/x", "/read/x", "/once/x", "/stream/x").flatMap { path -> List(UPLOADS) { path } }
+    ): List<String> = listOf("/act/x", "/read/x", "/once/x", "/stream/x").flatMap { path -> List(uploads) { path } }
         .filter { path ->
             registerAnew(target)
             host.caller().use { caller ->
@@ -122,12 +124,36 @@
         reset()
     }
 
+    @Test
+    fun `a response that is reset while the rest of the request is unsent is not complete`() {
+        bodyBytes = UNSENT_BODY_BYTES
+        uploads = 1
+        expectNoneComplete { request ->
+            sendPart(request, PART)
+            reset()
+        }
+    }
+
+    @Test
+    fun `a response that ends while the rest of the request is unsent is not complete`() {
+        bodyBytes = UNSENT_BODY_BYTES
+        uploads = 1
+        expectNoneComplete { request ->
+            sendPart(request, PART)
+            close()
+        }
+    }
+
     private companion object {
-        const val UPLOADS = 3
         const val CHUNK_BYTES = 60_000
         const val HEXADECIMAL = 16
         const val LATER_MILLISECONDS = 30L
-        const val BODY_BYTES = 3_000_000
+
+        /** A body that the buffers of the connection may hold, so that it is sent though the replica reads nothing. */
+        const val HELD_BODY_BYTES = 3_000_000
+
+        /** A body of which most is unsent while the replica reads nothing. */
+        const val UNSENT_BODY_BYTES = 12_000_000
 
         /** A whole event, so that a stream may end after it. */
         const val PART = "id: 1\ndata: piece\n\n"
