A response whose status line names no version of HTTP/1 is no answer

What callers saw: a signed response to an HTTP/1.1 request that begins with HTTP/2.0 or HTTP/0.9 as an answer of status 200.

Cause: as for the status, the decoder takes any number for a version. Ruled out: other names of a protocol (FOO/1.1, RTSP/1.0), which it rejects.

Evidence: ImpossibleStatusTest, "a response of another protocol is no answer", red before on for these two of four lines.

--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ImpossibleStatusTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/ImpossibleStatusTest.kt
@@ -56,6 +56,16 @@
     fun `a response whose status has not three digits is no answer`() =
         expectNoAnswer("0", "20", "0200", "1000", "2000", "+200", "-20", "2x0", "abc")
 
+    /** Guards against bytes of another protocol that look like the status line of a response. */
+    @Test
+    fun `a response of another protocol is no answer`() {
+        val lines = listOf("FOO/1.1 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "RTSP/1.0 200 OK")
+        val all = lines.associateWith { line ->
+            received("/act/x") { send(signedResponse(it, "answer").replaceFirst("HTTP/1.1 200 OK", line)) }
+        }
+        expectThat(all.filterValues { it != BAD_GATEWAY }).isEmpty()
+    }
+
     @Test
     fun `an idempotent request whose first response has status 000 is answered by another replica`() {
         val responses = AtomicInteger()
