--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/ResponseRelay.kt
@@ -52,6 +52,10 @@
 
     private val reservation = Reservation(memory)
 
+    /** The encoder drops the body of such a response, so that the caller would get a success without it. */
+    private val mustBeEmpty = status == HttpResponseStatus.RESET_CONTENT
+    private val mayStream = status.codeClass() == HttpStatusClass.SUCCESS && !mustBeEmpty
+
     /** Whether streaming to the caller has begun. */
     var hasBegun: Boolean = false
         private set
@@ -66,7 +70,7 @@
         }
         body.addComponent(true, content)
         if (mayBuffer(body.readableBytes()) || response.hasBegunStream) return RelayResult.USABLE
-        if (status.codeClass() != HttpStatusClass.SUCCESS) return RelayResult.TOO_LONG
+        if (!mayStream) return RelayResult.TOO_LONG
         streamBuffered(body)
         return RelayResult.USABLE
     }
@@ -96,7 +100,7 @@
 
     /** A short error response is buffered in any case, since it cannot be streamed. */
     private fun mayBuffer(length: Int): Boolean = when {
-        length > MAXIMUM_BUFFERED_BYTES -> false
+        mustBeEmpty || length > MAXIMUM_BUFFERED_BYTES -> false
         reservation.tryResize(length.toLong()) -> true
         else -> status.codeClass() != HttpStatusClass.SUCCESS && length <= SHORT_ERROR_BYTES
     }
