A test of a replica that becomes cold again within its run is red

Cause: a replica may become cold again at any moment (PROTOCOL.md), without starting again. Its hosts send to it unpaced until its entry arrives. A registration of another run, and a sign of the end of a run, count these requests; a registration of the same run with another cold time does not, so that the pace of cold replicas begins on top of them.

Change: the test alone.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -115,4 +115,14 @@
         coldness().recordSignOfEnd(run = 1, start + 0.3.seconds)
         expectThat(coldness().permitsRequest(start + 0.3.seconds)).isFalse()
     }
+
+    /** A replica may become cold again without starting again; its entry arrives later. */
+    @Test
+    fun `requests sent just before a registration says that the same run is cold again count`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start)
+        registry.put(replica(startedAt = 1), 0, coldUntil = start + 3.seconds)
+        expectThat(coldness().permitsRequest(start + 0.5.seconds)).isFalse()
+        expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
+    }
 }
