Requests before a registration of another cold time of the same run count

Cause: only another run in a registration, or a sign of the end of a run, delayed the first request at the pace of cold replicas until the unpaced ones no longer count. A replica that becomes cold again within its run had been cold for as long as its entry took to arrive, and what the host sent meanwhile was not counted.

Price: a replica that is cold anew gets nothing from a host for up to a second after the host's last request.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -37,8 +37,10 @@
     /** Marks the replica as cold until [coldUntil], unless it is known to be cold for longer. */
     public fun markUntil(coldUntil: MonotonicInstant): Unit = synchronized(lock) { extend(coldUntil) }
 
+    /** Counts the requests that this host has just sent, since the replica was cold before the host learned of it. */
     private fun extend(coldUntil: MonotonicInstant) {
         until = listOfNotNull(until, coldUntil).max()
+        pace.awaitUnpaced()
     }
 
     /** Records a sign at [now] that the run which started at [run] has ended; returns whether it is the known one. */
