Three tests of a restart while the registration is away are red

Cause: a replica whose registration ended, and returns with another run, gets a new state. Of the earlier one only the time of the last unpaced request is taken over. Lost are the last request at the pace of cold replicas, which may have gone to the next run, and a later run that has answered; attempts that refer to the earlier state are not paced when their connection opens.

Change: the tests alone.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -125,4 +125,37 @@
         expectThat(coldness().permitsRequest(start + 0.5.seconds)).isFalse()
         expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
     }
+
+    /** The request went to the next run, whose registration arrives after that of the earlier run has ended. */
+    @Test
+    fun `the pace of a doubted replica does not begin anew although the registration ended in between`() {
+        register(startedAt = 1)
+        coldness().recordSignOfEnd(run = 1, start)
+        coldness().takeRequest(1.seconds, start)
+        registry.remove(id)
+        registry.put(replica(startedAt = 2), 0, coldUntil = start + 3.seconds)
+        expectThat(coldness().permitsRequest(start + 0.5.seconds)).isFalse()
+        expectThat(coldness().permitsRequest(start + 1.seconds)).isTrue()
+    }
+
+    /** The connection of an attempt that refers to the earlier state is opened after the registration. */
+    @Test
+    fun `an attempt placed before the registration ended counts the next run as cold`() {
+        register(startedAt = 1)
+        val atPlacement = coldness()
+        registry.remove(id)
+        registry.put(replica(startedAt = 2), 0, coldUntil = start + 3.seconds)
+        expectThat(atPlacement.isCold(start + 0.1.seconds)).isTrue()
+    }
+
+    /** The third run has answered; the entry of the second one is read late. */
+    @Test
+    fun `a later run that has answered stays cold although the registration ended in between`() {
+        register(startedAt = 1)
+        coldness().recordSignOfEnd(run = 1, start)
+        coldness().recordRestart(run = 1, answering = 3, start, warmAt = start + 3.seconds)
+        registry.remove(id)
+        register(startedAt = 2)
+        expectThat(coldness().isCold(start + 1.seconds)).isTrue()
+    }
 }
