A restart while the registration is away keeps what is known of the replica's coldness

Cause: the next run of a replica whose registration ended got a state of its own, with the time of the last unpaced request alone.

Change: it continues with the coldness of the earlier state, as it does if its registration did not end in between. So the pace and a later run that has answered are kept, and an attempt that was placed before counts the next run as cold when its connection opens. The registered cold time of the earlier run is kept too, as it is without a gap.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
@@ -10,8 +10,7 @@
     private var unpacedUntil: MonotonicInstant? = null
 
     /** Time of the last request to the replica while it counted as warm. */
-    var lastUnpacedAt: MonotonicInstant? = null
-        private set
+    private var lastUnpacedAt: MonotonicInstant? = null
 
     /** Whether the interval after the last request is over, and no unpaced one counts any longer. */
     fun permits(now: MonotonicInstant): Boolean = listOfNotNull(nextAt, unpacedUntil).all { now >= it }
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -25,15 +25,6 @@
         if (coldUntil != null) extend(coldUntil)
     }
 
-    /** Counts the requests that this host sent to an [earlier] run, whose registration had ended meanwhile. */
-    internal fun follow(earlier: ReplicaColdness) {
-        val unpacedAt = synchronized(earlier.lock) { earlier.pace.lastUnpacedAt } ?: return
-        synchronized(lock) {
-            pace.recordUnpaced(unpacedAt)
-            pace.awaitUnpaced()
-        }
-    }
-
     /** Marks the replica as cold until [coldUntil], unless it is known to be cold for longer. */
     public fun markUntil(coldUntil: MonotonicInstant): Unit = synchronized(lock) { extend(coldUntil) }
 
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaRegistry.kt
@@ -42,13 +42,14 @@
         rebuildIndex()
     }
 
-    /** The state of [replica], which continues if its registration ended and the same run is registered again. */
+    /**
+     * The state of [replica], which continues if its registration ended and the same run is registered again. Another
+     * run continues with the coldness alone: requests may have been sent to it already.
+     */
     private fun stateAfterRemoval(replica: Replica, tokenCapacity: Long): ReplicaState {
-        val earlier = removed.take(replica.id)
-        if (earlier?.current?.startedAt == replica.startedAt) return earlier
-        val state = ReplicaState(replica, tokenCapacity)
-        earlier?.let { state.coldness.follow(it.coldness) }
-        return state
+        val earlier = removed.take(replica.id) ?: return ReplicaState(replica, tokenCapacity)
+        if (earlier.current.startedAt == replica.startedAt) return earlier
+        return ReplicaState(replica, tokenCapacity, earlier.coldness)
     }
 
     /** A run that is registered as leaving does not return, although its registration may say ready again. */
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaState.kt
@@ -14,8 +14,13 @@
  * cold replica.
  *
  * @param tokenCapacity number of tokens that fit into the replica's memory; 0 if the replica is not an engine.
+ * @property coldness whether the replica is cold, or may be.
  */
-public class ReplicaState(registered: Replica, private var tokenCapacity: Long) {
+public class ReplicaState(
+    registered: Replica,
+    private var tokenCapacity: Long,
+    public val coldness: ReplicaColdness = ReplicaColdness(registered.startedAt),
+) {
     private val lock = Any()
     private var replica = registered
     private var own = ReplicaLoad.NONE
@@ -32,9 +37,6 @@
 
     private class HostReport(val load: ReplicaLoad, val receivedAt: MonotonicInstant)
 
-    /** Whether the replica is cold, or may be. */
-    public val coldness: ReplicaColdness = ReplicaColdness(registered.startedAt)
-
     /** The current registration. */
     public val current: Replica get() = synchronized(lock) { replica }
 
