A test of requests that are recorded out of order is red

Cause: the clock is read before the lock is taken, so that of two event loops the one with the earlier reading may record its request last. It replaces the later reading, and a refused connection that began between the two makes the host forget both.

Change: the test alone.

--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -158,4 +158,15 @@
         register(startedAt = 2)
         expectThat(coldness().isCold(start + 1.seconds)).isTrue()
     }
+
+    /** Two event loops: the one that read the clock first records its request last. */
+    @Test
+    fun `an earlier request that is recorded late does not hide a later one`() {
+        register(startedAt = 1)
+        coldness().takeRequest(1.seconds, start + 0.2.seconds)
+        coldness().takeRequest(1.seconds, start + 0.1.seconds)
+        coldness().recordAbsence(start + 0.15.seconds)
+        coldness().recordSignOfEnd(run = 1, start + 0.3.seconds)
+        expectThat(coldness().permitsRequest(start + 0.3.seconds)).isFalse()
+    }
 }
