--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ColdPace.kt
@@ -10,8 +10,7 @@
     private var unpacedUntil: MonotonicInstant? = null
 
     /** Time of the last request to the replica while it counted as warm. */
-    var lastUnpacedAt: MonotonicInstant? = null
-        private set
+    private var lastUnpacedAt: MonotonicInstant? = null
 
     /** Whether the interval after the last request is over, and no unpaced one counts any longer. */
     fun permits(now: MonotonicInstant): Boolean = listOfNotNull(nextAt, unpacedUntil).all { now >= it }
@@ -25,7 +24,7 @@
 
     /** Records a request at [now] to a replica that counts as warm. */
     fun recordUnpaced(now: MonotonicInstant) {
-        lastUnpacedAt = now
+        lastUnpacedAt = listOfNotNull(lastUnpacedAt, now).max()
     }
 
     /**
