New streams of a software version that has left begin at the others without waiting for the record

Cause, by reading: their version followed from shares that still named the one that had left, until a host had recorded others and these applied: 0.6 to 1.2 s, or as long as the store could not be written. Change: a version that no replica serves gets no new streams from 400 ms after a host noticed that, the time within which the others do. A stream that may have begun while its version was away does not go on there once it is back.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ServiceVersions.kt
@@ -43,6 +43,10 @@
 
     private val replaced = LinkedHashMap<VersionShares, Replacement>()
 
+    /** The versions with a share that no replica serves: since when, and when that last was so. */
+    private val unservedSince = HashMap<SoftwareVersion, MonotonicInstant>()
+    private val unservedAt = HashMap<SoftwareVersion, MonotonicInstant>()
+
     /** The history in force; its number is 0 while none was recorded in the store. */
     public val current: VersionHistory get() = synchronized(lock) { history }
 
@@ -91,6 +95,17 @@
     /** Records that this host missed no change of the estate up to [now]. */
     public fun recordCurrent(now: MonotonicInstant): Unit = synchronized(lock) { currentAt = now }
 
+    /** Records that replicas of the versions [served], and of no others, may get streams at [now]. */
+    public fun recordServed(served: Set<SoftwareVersion>, now: MonotonicInstant): Unit = synchronized(lock) {
+        val unserved = history.shares.flatMapTo(HashSet()) { it.versions } - served
+        unservedSince.keys.retainAll(unserved)
+        for (version in unserved) {
+            unservedSince.putIfAbsent(version, now)
+            unservedAt[version] = now
+        }
+        unservedAt.values.removeIf { now - it > LONGEST_RELEVANCE }
+    }
+
     /** Records that every host knows the history with [number] at [now], so that no stream begins by earlier ones. */
     public fun recordKnownEverywhere(number: Long, now: MonotonicInstant): Unit = synchronized(lock) {
         if (history.number != number) return@synchronized
@@ -99,9 +114,16 @@
         replaced.values.filter { it.everywhereAt == null }.forEach { it.everywhereAt = now + SPREADING_TIME }
     }
 
-    /** The version of the stream that [stream] begins at [now], which only the regions [homes] may serve. */
-    public fun ofNewStream(stream: RequestId, homes: Set<RegionName>, now: MonotonicInstant): SoftwareVersion? =
-        synchronized(lock) { applying(now) }.versionOf(stream, homes)
+    /**
+     * The version of the stream that [stream] begins at [now], which only the regions [homes] may serve. A version that
+     * has left gets none after the time in which other hosts notice that too, whether or not the store can be written.
+     */
+    public fun ofNewStream(stream: RequestId, homes: Set<RegionName>, now: MonotonicInstant): SoftwareVersion? {
+        val (shares, left) = synchronized(lock) {
+            applying(now) to unservedSince.filterValues { now - it >= SPREADING_TIME }.keys.toSet()
+        }
+        return shares.without(left).versionOf(stream, homes) ?: shares.versionOf(stream, homes)
+    }
 
     /**
      * The version of the stream that the request [stream] began, at most [age] before [now]. Without [stream], it is
@@ -121,9 +143,15 @@
         val versions = possible.flatMapTo(HashSet()) { shares ->
             if (stream == null) shares.versions else setOfNotNull(shares.versionOf(stream, homes))
         }
-        return versions.singleOrNull()?.let(BegunStream::At) ?: BegunStream.Unknown
+        val version = versions.singleOrNull() ?: return BegunStream.Unknown
+        val hasOthers = possible.any { it.versions.size > 1 }
+        return if (hasOthers && hadLeft(version, age, now)) BegunStream.Unknown else BegunStream.At(version)
     }
 
+    /** Whether [version] had left when a stream of [age] may have begun, so that it began at another one. */
+    private fun hadLeft(version: SoftwareVersion, age: StreamAge, now: MonotonicInstant): Boolean =
+        synchronized(lock) { unservedAt[version]?.let { now - it <= (age.own ?: age.longest) } ?: false }
+
     /** Whether a stream of [age] may have begun by [shares], which were replaced. */
     private fun mayHaveBegun(shares: VersionShares, age: StreamAge, now: MonotonicInstant): Boolean {
         val replacement = replaced[shares] ?: return true
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/ShareCount.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/ShareCount.kt
@@ -4,6 +4,7 @@
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.replica.ReplicaRestriction
 import org.buckthornwheel.decision.replica.ReplicaState
+import org.buckthornwheel.decision.replica.SoftwareVersion
 
 /** Counts the replicas of each software version that take new streams. */
 public object ShareCount {
@@ -16,7 +17,7 @@
         closedZones: Set<ZoneName>,
         now: MonotonicInstant,
     ): VersionShares {
-        val staying = replicas.filter { it.current.zone !in closedZones && !isLeaving(it, now) }
+        val staying = staying(replicas, closedZones, now)
         val warm = staying.filterNot { it.coldness.isRegisteredCold(now) }
         return VersionShares(
             warm.ifEmpty { staying }.map { it.current }.groupBy { it.version }
@@ -24,6 +25,19 @@
         )
     }
 
+    /** The versions of the [replicas] that may get streams at [now], cold ones included. */
+    public fun served(
+        replicas: Collection<ReplicaState>,
+        closedZones: Set<ZoneName>,
+        now: MonotonicInstant,
+    ): Set<SoftwareVersion> = staying(replicas, closedZones, now).mapTo(HashSet()) { it.current.version }
+
+    private fun staying(
+        replicas: Collection<ReplicaState>,
+        closedZones: Set<ZoneName>,
+        now: MonotonicInstant,
+    ): List<ReplicaState> = replicas.filter { it.current.zone !in closedZones && !isLeaving(it, now) }
+
     private fun isLeaving(state: ReplicaState, now: MonotonicInstant): Boolean = when (state.restriction(now)) {
         ReplicaRestriction.RegisteredAsLeaving, ReplicaRestriction.AnnouncedLeaving -> true
         else -> false
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/VersionShares.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/VersionShares.kt
@@ -33,6 +33,9 @@
         )?.key
     }
 
+    /** The shares without those of [versions]. */
+    internal fun without(versions: Set<SoftwareVersion>): VersionShares = VersionShares(replicas - versions)
+
     /** Whether [other] gives each version about the same share, in each region and in all of them. */
     public fun isNear(other: VersionShares): Boolean {
         if (versions != other.versions) return false
--- a/decision/src/main/kotlin/org/buckthornwheel/decision/version/VersionUpdates.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/version/VersionUpdates.kt
@@ -49,6 +49,7 @@
         val counted = ShareCount.of(replicas.of(service), closedZones, now)
         val known = versions.of(service)
         known.applyCounted(counted, now)
+        known.recordServed(ShareCount.served(replicas.of(service), closedZones, now), now)
         return known.successor(counted, relevance, now) ?: known.current.takeIf { it.number > 0 && !known.isStored }
     }
 
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/version/ServiceVersionsTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/version/ServiceVersionsTest.kt
@@ -99,6 +99,36 @@
         }
     }
 
+    @Nested
+    inner class `given a version that has left before the shares have changed` {
+        private val both = shares("v1" to 4, "v2" to 4)
+
+        private fun begin(at: MonotonicInstant) =
+            STREAMS.groupingBy { versions.ofNewStream(it, emptySet(), at)?.value }.eachCount()
+
+        // New streams of a version that had left found no place until the store held other shares.
+        @Test
+        fun `its share of the new streams begins at the others, once other hosts have noticed too`() {
+            versions.applyStored(VersionHistory(1, listOf(both)), start)
+            versions.recordServed(setOf(SoftwareVersion("v2")), start)
+            expectThat(begin(start + 100.milliseconds)).isEqualTo(both.versionsOfAll())
+            expectThat(begin(start + 500.milliseconds)).isEqualTo(mapOf("v2" to STREAMS.size))
+        }
+
+        @Test
+        fun `streams that may have begun elsewhere meanwhile do not go on at it when it is back`() {
+            versions.applyStored(VersionHistory(1, listOf(both)), start)
+            versions.recordServed(setOf(SoftwareVersion("v2")), start + 1.seconds)
+            versions.recordServed(setOf(SoftwareVersion("v1"), SoftwareVersion("v2")), start + 2.seconds)
+            val first = STREAMS.first { both.versionOf(it, emptySet()) == SoftwareVersion("v1") }
+            expectThat(begun(first, start + 3.seconds)).isEqualTo(BegunStream.Unknown)
+            expectThat(begun(first, start + 3.seconds, 500.milliseconds))
+                .isEqualTo(BegunStream.At(SoftwareVersion("v1")))
+        }
+
+        private fun VersionShares.versionsOfAll() = STREAMS.groupingBy { versionOf(it, emptySet())?.value }.eachCount()
+    }
+
     @Nested
     inner class `given shares that no longer suit the replicas` {
         @Test
