--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -69,6 +69,9 @@
 
     private fun isColdAt(now: MonotonicInstant): Boolean = until?.let { now < it } == true || doubt.isRaised(now)
 
+    /** Whether a request that was placed while the replica counted as warm may still be sent unpaced at [now]. */
+    public fun permitsUnpaced(now: MonotonicInstant): Boolean = synchronized(lock) { !isColdAt(now) }
+
     /** Whether this host's next request to the cold replica is due at [now]. */
     public fun permitsRequest(now: MonotonicInstant): Boolean = synchronized(lock) { pace.permits(now) }
 
