An unpaced request counts from the opening of its connection

Cause: an unpaced request was recorded when it was placed, up to 600 ms before it was sent.

Change: SendPermission records it once more when its connection is open (`takeUnpaced`), if the replica still counts as warm. A request that is then withheld for another reason, such as the replica's limit, counts too.

--- a/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
+++ b/decision/src/main/kotlin/org/buckthornwheel/decision/replica/ReplicaColdness.kt
@@ -69,8 +69,15 @@
 
     private fun isColdAt(now: MonotonicInstant): Boolean = until?.let { now < it } == true || doubt.isRaised(now)
 
-    /** Whether a request that was placed while the replica counted as warm may still be sent unpaced at [now]. */
-    public fun permitsUnpaced(now: MonotonicInstant): Boolean = synchronized(lock) { !isColdAt(now) }
+    /**
+     * Takes a request that was placed while the replica counted as warm, and is sent at [now]. Returns false if the
+     * replica is cold by now.
+     */
+    public fun takeUnpaced(now: MonotonicInstant): Boolean = synchronized(lock) {
+        if (isColdAt(now)) return@synchronized false
+        pace.recordUnpaced(now)
+        true
+    }
 
     /** Whether this host's next request to the cold replica is due at [now]. */
     public fun permitsRequest(now: MonotonicInstant): Boolean = synchronized(lock) { pace.permits(now) }
--- a/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
+++ b/decision/src/test/kotlin/org/buckthornwheel/decision/replica/RestartedReplicaTest.kt
@@ -175,7 +175,7 @@
     fun `a request counts for the next run from the opening of its connection`() {
         register(startedAt = 1)
         coldness().takeRequest(1.seconds, start)
-        expectThat(coldness().permitsUnpaced(start + 0.5.seconds)).isTrue()
+        expectThat(coldness().takeUnpaced(start + 0.5.seconds)).isTrue()
         coldness().recordSignOfEnd(run = 1, start + 0.6.seconds)
         expectThat(coldness().permitsRequest(start + 1.2.seconds)).isFalse()
         expectThat(coldness().permitsRequest(start + 1.5.seconds)).isTrue()
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/SendPermission.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/exchange/SendPermission.kt
@@ -45,7 +45,7 @@
     fun giveBack(): Unit = claim.giveBack()
 
     /** Whether the replica is not cold, or its next request is due, if it has become cold since the placement. */
-    private fun mayUseCold(now: MonotonicInstant): Boolean = state.coldness.permitsUnpaced(now) ||
+    private fun mayUseCold(now: MonotonicInstant): Boolean = state.coldness.takeUnpaced(now) ||
         (context.placement.permitsCold(replica, now) && state.coldness.takeRequest(coldInterval(), now))
 
     /** Takes a request of the limit that the replica named while the connection was opened, if it did. */
