--- a/review/stand-ins-2/Replica.java
+++ b/review/stand-ins-2/Replica.java
@@ -25,7 +25,7 @@
     final String service;
     final String zone;
     final int slots;
-    final String version;
+    volatile String version;
     private final Store store;
     private final Record record;
     private final Behaviour behaviour;
@@ -55,8 +55,12 @@
 
     private void begin() {
         id = "i-" + Long.toHexString(ThreadLocalRandom.current().nextLong(1L << 36, 1L << 40));
-        born = System.currentTimeMillis();
+        listen();
         register("ready");
+    }
+
+    private void listen() {
+        born = System.currentTimeMillis();
         ServerSocket accepting = server;
         Thread thread = new Thread(() -> accept(accepting), "replica " + id);
         thread.setDaemon(true);
@@ -113,6 +117,30 @@
         thread.start();
     }
 
+    /**
+     * Stops, and starts again after [downMilliseconds] under its id with the software [next]; its entry says so
+     * [entryMilliseconds] after the start.
+     */
+    synchronized void upgrade(String next, long downMilliseconds, long entryMilliseconds) throws IOException {
+        stop();
+        Thread thread = new Thread(() -> {
+            try {
+                Thread.sleep(downMilliseconds);
+                server = new ServerSocket();
+                server.setReuseAddress(true);
+                server.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 256);
+                version = next;
+                listen();
+                Thread.sleep(entryMilliseconds);
+                register("ready");
+            } catch (Exception failure) {
+                record.line("replica not upgraded: " + failure);
+            }
+        }, "upgrade");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private void accept(ServerSocket accepting) {
         while (true) {
             try {
