--- a/review/stand-ins-2/RevokedKey.java
+++ b/review/stand-ins-2/RevokedKey.java
@@ -10,7 +10,8 @@
 final class RevokedKey {
     private static final double REVOKE_SECONDS = 5;
     private static final long AFTER_REVOCATION_MILLISECONDS = 7_000;
-    private static final long WRITTEN_AGAIN_MILLISECONDS = 2_000;
+    private static final long WRITTEN_AGAIN_MILLISECONDS =
+        Long.parseLong(System.getenv().getOrDefault("AGAIN", "1000"));
     private static final String REMOVED = "jbvk9m68k7b2ex5wa5xw";
     private static final String KEPT = "yhks8nbkxxmibw6kpqk8";
     private static final String MANIFEST = """
