A host asks others before it takes the first listing of an era for current

What callers saw: a key that was removed 7.7 s before is accepted by a host that starts as the store returns from an older copy, until the operator writes again; the same at a frozen, a stopped and a new host.

Cause: EstateWatcher took every answered read for a proof that the manifest is current, also the first listing of an era, which may hold a manifest that was replaced before the return. A new host also put its routes, homes and limits in force.

Change: hosts write their entry anew at each return, now with the era and the version of their manifest. If the first listing of an era has entries from an earlier one, or one that names a newer manifest, a host that starts, or whose keys were closed, asks up to six of these hosts (two of each distance) what they have in force, and only then takes the listing for current. A new host has nothing in force before; it rejects requests at once meanwhile. Hosts that cannot show their manifest to be current say so and do not end the inquiry; after 500 ms, or without a host that answers, the listing counts. A listing whose entries are all of its era needs no inquiry, so that an ordinary start makes no call. A host that knows of a newer manifest than its own accepts no keys until it has it.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/RequestStarters.kt
@@ -32,6 +32,7 @@
     private val authentication = CallerAuthentication(context)
 
     override fun mustWait(): Boolean {
+        if (context.routingState.awaitsHosts) return false
         val isIncomplete = context.routingState.manifest == null || context.currency.refusesAccounts
         return isIncomplete && !context.shutdown.hasBegun && startup.mayWait(context.clock.now())
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/EntryHostProcess.kt
@@ -58,6 +58,8 @@
 import org.buckthornwheel.forwarding.listener.OpenListener
 import org.buckthornwheel.forwarding.membership.AccountSharing
 import org.buckthornwheel.forwarding.membership.EstateCall
+import org.buckthornwheel.forwarding.membership.EstateInForceCall
+import org.buckthornwheel.forwarding.membership.EstateInquiry
 import org.buckthornwheel.forwarding.membership.EstateRecovery
 import org.buckthornwheel.forwarding.membership.EstateRevision
 import org.buckthornwheel.forwarding.membership.EstateSync
@@ -184,6 +186,7 @@
     )
     private val hostCalls = mapOf(
         EstateRecovery.PATH to EstateCall({ estate }, log),
+        EstateInquiry.PATH to EstateInForceCall { estate },
         RetryGrantCall.PATH to RetryGrantCall(retries, clock),
     )
     private val runInquiries = RunInquiries(dialect, replicas, routingState, log, clock)
@@ -265,6 +268,9 @@
     /** Records that this host has just learned of all changes of the estate. */
     public fun estateCurrent(): Unit = versions.recordCurrent(clock.now())
 
+    /** Asks other hosts what they have in force, on [loop]. */
+    public fun estateInquiry(loop: EventLoop): EstateInquiry = EstateInquiry(settings.self, loop, log, clock)
+
     /** Adds a prompt [part] that a host quarantined [age] ago, according to the adapter's records. */
     public fun quarantineRecorded(part: String, age: Duration): Unit =
         quarantineSharing.addRecorded(part, age, clock.now())
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.decision.account.ClockReading
 import org.buckthornwheel.decision.account.RevocationGuard
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
 /**
@@ -17,13 +18,17 @@
     private val unixMilliseconds: () -> Long = System::currentTimeMillis,
 ) {
     private val guard = bound?.let(::RevocationGuard)
+    private val newestKnown = AtomicLong()
 
     /** Time within which a removed key must stop working, if the manifest in force has keys; null otherwise. */
     public val bound: Duration?
         get() = guard?.bound?.takeIf { routingState.manifest?.requiresAccounts == true }
 
     /** Whether requests of client accounts are rejected, since keys may have been removed meanwhile. */
-    public val refusesAccounts: Boolean get() = bound != null && guard?.isOpen(reading()) == false
+    public val refusesAccounts: Boolean
+        get() = bound != null && (newestKnown.get() > versionInForce || guard?.isOpen(reading()) == false)
+
+    private val versionInForce: Long get() = routingState.manifest?.version?.value ?: 0
 
     /** Whether a host that reads the store only for this has to read it again by now. */
     public val isReadDue: Boolean
@@ -32,6 +37,11 @@
             return age >= guard.bound * READ_SHARE_OF_BOUND
         }
 
+    /** Records that a manifest with [version] exists; an older one is not current even if the store holds it. */
+    public fun recordVersion(version: Long) {
+        newestKnown.accumulateAndGet(version, ::maxOf)
+    }
+
     /** Records that a read of the store is sent now. */
     public fun readSent(): StoreRead = StoreRead(guard?.readSent(reading()))
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/RoutingState.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/RoutingState.kt
@@ -32,6 +32,10 @@
     /** Secret of the index of account keys; read only if there are any, since that takes time at the start. */
     private val secret by lazy { ByteArray(SECRET_BYTES).also(SecureRandom()::nextBytes) }
 
+    /** Whether this host awaits what other hosts have in force; no request waits for that. */
+    @Volatile
+    public var awaitsHosts: Boolean = false
+
     /** The manifest in force with what was derived from it; null until one was received. */
     internal val current: CurrentManifest? get() = newest
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateSync.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateSync.kt
@@ -15,6 +15,9 @@
     /** Applies the [changes] received from another host. */
     public fun applyChanges(changes: String)
 
+    /** What this host has in force, with its manifest if that is newer than [version]; null if there is none. */
+    public fun inForce(version: Long): String? = null
+
     /** Default implementation. */
     public companion object {
         /** Has no changes and ignores those that it receives. */
