A host that hears of a manifest which the store should have shown it accepts no keys without it

Cause: heartbeats name the version of the manifest in force, but a higher one only led to a request after 1.2 s, and had no effect on keys meanwhile. Where no entry of another host is in the copy, this is the first sign that the store is not current.

Change: a host that has read the store at least as far as the sender of a heartbeat, and has an older manifest in force, rejects requests with keys until it has the newer one, and requests that at once. A host that is merely behind in its reading goes on as before, since the manifest reaches it with the changes. ManifestInForce takes the place of three functions in LocalHostState.

Evidence: MissingManifestTest. Before the change its first case failed (keys still accepted after 5 s), its second passed; both pass now, with PeerForwardingTest, HeartbeatTest, ClientAccountsTest and StartupTest.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/host/ManifestCurrency.kt
@@ -3,6 +3,7 @@
 import org.buckthornwheel.api.MonotonicClock
 import org.buckthornwheel.decision.account.ClockReading
 import org.buckthornwheel.decision.account.RevocationGuard
+import org.buckthornwheel.forwarding.membership.ManifestInForce
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 
@@ -16,7 +17,7 @@
     private val routingState: RoutingState,
     private val clock: MonotonicClock,
     private val unixMilliseconds: () -> Long = System::currentTimeMillis,
-) {
+) : ManifestInForce {
     private val guard = bound?.let(::RevocationGuard)
     private val newestKnown = AtomicLong()
 
@@ -24,11 +25,10 @@
     public val bound: Duration?
         get() = guard?.bound?.takeIf { routingState.manifest?.requiresAccounts == true }
 
-    /** Whether requests of client accounts are rejected, since keys may have been removed meanwhile. */
-    public val refusesAccounts: Boolean
-        get() = bound != null && (newestKnown.get() > versionInForce || guard?.isOpen(reading()) == false)
+    override val version: Long get() = routingState.manifest?.version?.value ?: 0
 
-    private val versionInForce: Long get() = routingState.manifest?.version?.value ?: 0
+    override val refusesAccounts: Boolean
+        get() = bound != null && (newestKnown.get() > version || guard?.isOpen(reading()) == false)
 
     /** Whether a host that reads the store only for this has to read it again by now. */
     public val isReadDue: Boolean
@@ -37,8 +37,7 @@
             return age >= guard.bound * READ_SHARE_OF_BOUND
         }
 
-    /** Records that a manifest with [version] exists; an older one is not current even if the store holds it. */
-    public fun recordVersion(version: Long) {
+    override fun recordVersion(version: Long) {
         newestKnown.accumulateAndGet(version, ::maxOf)
     }
 
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/EstateRecovery.kt
@@ -28,27 +28,47 @@
  * Keeps [estateSync] up to date with other hosts. All functions are called on [loop].
  *
  * After the store has returned from a copy, a host that starts reads an older manifest than others know, at a revision
- * that is not behind theirs. So the version of the manifest is compared too.
+ * that is not behind theirs. So the version of the manifest is compared too. One that this host lacks although it has
+ * read the store at least as far as the other host is requested at once, and the manifest in force no longer counts as
+ * current.
  */
 internal class EstateRecovery(
     private val self: EntryHostProfile,
     private val estateSync: () -> EstateSync,
-    private val manifestVersion: () -> Long,
+    private val manifest: ManifestInForce,
     private val followsPrimaries: () -> Boolean,
     private val loop: EventLoop,
     private val log: DecisionLog,
 ) {
     private val clients = HashMap<NetworkAddress, HttpServiceClient>()
     private val newerRevision = PeerAhead({ estateSync().revision }, ::distance)
-    private val newerManifest = PeerAhead(manifestVersion, ::distance)
+    private val newerManifest = PeerAhead({ manifest.version }, ::distance)
     private val manifestDelay = CatchUpDelay(CATCH_UP_DELAY, LONGEST_MANIFEST_DELAY)
     private var isRequesting = false
+    private var missingVersion = 0L
+    private var isManifestDue = false
 
     /** Records that [peer] has [revision], and the manifest [version] in force. */
     fun onHeartbeat(peer: EntryHostProfile, revision: EstateRevision, version: Long, now: MonotonicInstant) {
         newerRevision.record(peer, revision, now)
         newerManifest.record(peer, version, now)
         manifestDelay.record(version)
+        recordMissing(peer, revision, version)
+        if (isManifestDue) check(now)
+    }
+
+    /** The own revision is read first, since a manifest comes into force before the revision that it belongs to. */
+    private fun recordMissing(peer: EntryHostProfile, revision: EstateRevision, version: Long) {
+        val isAsFar = estateSync().revision >= revision
+        if (!isAsFar || version <= manifest.version || version <= missingVersion) return
+        missingVersion = version
+        isManifestDue = true
+        log.write(LogPart.MANIFEST, "missing in the store") {
+            put("manifest", version)
+            put("own-manifest", manifest.version)
+            put("peer", peer.name.value)
+        }
+        manifest.recordVersion(version)
     }
 
     /** Requests the missing changes if this host has been behind for long enough. */
@@ -57,7 +77,9 @@
         val delay = if (followsPrimaries()) Duration.ZERO else CATCH_UP_DELAY
         val byRevision = newerRevision.behindFor(delay, now)
         if (byRevision != null) return request(byRevision, estateSync().revision)
-        val byManifest = newerManifest.behindFor(manifestDelay.of(manifestVersion()), now) ?: return
+        val manifestLag = if (isManifestDue) Duration.ZERO else manifestDelay.of(manifest.version)
+        val byManifest = newerManifest.behindFor(manifestLag, now) ?: return
+        isManifestDue = false
         newerManifest.forget()
         request(byManifest, EstateRevision.NONE, onAnswer = manifestDelay::recordAnswer)
     }
--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/membership/HeartbeatService.kt
@@ -39,10 +39,9 @@
     val isReady: () -> Boolean,
     val estate: () -> EstateSync,
     val quarantine: QuarantineSharing,
-    val refusesAccounts: () -> Boolean,
+    val manifest: ManifestInForce,
     val accounts: AccountSharing,
     val limits: ReplicaLimitSharing,
-    val manifestVersion: () -> Long,
     val onReported: (HostName, EstateRevision) -> Unit,
 )
 
@@ -70,7 +69,7 @@
         recovery = EstateRecovery(
             self,
             local.estate,
-            local.manifestVersion,
+            local.manifest,
             { hosts.followsPrimaries(clock.now()) },
             channel.eventLoop(),
             log,
@@ -147,11 +146,11 @@
             activity,
             estate.number,
             quarantineMessage,
-            local.refusesAccounts(),
+            local.manifest.refusesAccounts,
             local.accounts.message(interval),
             leaving = ownLeaving().ifEmpty { null },
             era = estate.era,
-            manifestVersion = local.manifestVersion(),
+            manifestVersion = local.manifest.version,
         )
     }
 
