A forwarded request whose path has a malformed escape reaches a replica and gives its memory back

Cause: HostCallStarter decoded the path of every request before it looked for the envelope of a forwarded one; the decoder throws for a malformed escape, when nobody is left to release the body. Change: a forwarded request is passed on without a look at its path; the paths of the calls between hosts are compared as they are, and a call with parameters that cannot be decoded gets 400.

--- a/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/HostCallStarter.kt
+++ b/forwarding/src/main/kotlin/org/buckthornwheel/forwarding/front/HostCallStarter.kt
@@ -18,13 +18,21 @@
     override fun mustWait(): Boolean = requests.mustWait()
 
     override fun start(request: ArrivedRequest, connection: InboundConnection): ProxiedRequest? {
-        val query = QueryStringDecoder(request.head.uri())
-        val call = calls[query.path()].takeUnless { PeerEnvelope.isIn(request.head.headers()) }
-            ?: return requests.start(request, connection)
+        val isForwarded = PeerEnvelope.isIn(request.head.headers())
+        val call = if (isForwarded) null else calls[request.head.uri().substringBefore('?')]
+        val parameters = call?.let { parameters(request.head.uri()) }
+        if (call == null || parameters == null) return requests.start(request, connection)
         request.body.release()
-        val text = call.respond(query.parameters().mapValues { (_, values) -> values.first() })
+        val text = call.respond(parameters)
         val status = if (text == null) HttpResponseStatus.NO_CONTENT else HttpResponseStatus.OK
         connection.respond(status, DefaultHttpHeaders(), Unpooled.wrappedBuffer(text.orEmpty().encodeToByteArray()))
         return null
     }
+
+    /** The parameters of [uri]; null if they cannot be decoded. */
+    private fun parameters(uri: String): Map<String, String>? = try {
+        QueryStringDecoder(uri).parameters().mapValues { (_, values) -> values.first() }
+    } catch (_: IllegalArgumentException) {
+        null
+    }
 }
--- a/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
+++ b/forwarding/src/test/kotlin/org/buckthornwheel/forwarding/transport/PeerForwardingTest.kt
@@ -11,6 +11,7 @@
 import org.buckthornwheel.api.ZoneName
 import org.buckthornwheel.decision.entry.EntryHostProfile
 import org.buckthornwheel.decision.replica.ReplicaId
+import org.buckthornwheel.forwarding.fixture.RawCaller
 import org.buckthornwheel.forwarding.fixture.RunningHost
 import org.buckthornwheel.forwarding.fixture.ScriptedReplica
 import org.buckthornwheel.forwarding.fixture.TestManifest
@@ -118,6 +119,28 @@
         }
     }
 
+    /** Guards against the loss of a request, and of the memory of its body, because its path cannot be decoded. */
+    @Test
+    fun `a forwarded request with a malformed escape in its path is run by a replica`() {
+        val replica = addSouthern(echoingReplica())
+        for (path in listOf("/act/50%", "/act/%zz", "/act/x?y=%")) {
+            north.caller().use { caller ->
+                caller.request("POST", path, "q1", "question")
+                expectThat(caller.readResponse()).isNotNull().get { body }.isEqualTo("answer to question")
+            }
+            expectThat(replica.requests.last().line).isEqualTo("POST $path HTTP/1.1")
+        }
+    }
+
+    /** Guards against a connection that ends without an answer, and keeps the memory of its body. */
+    @Test
+    fun `a call between hosts with a malformed parameter is rejected`() {
+        RawCaller(south.self.peerAddress).use { caller ->
+            caller.request("POST", "/estate?after=%", "q1", "question")
+            expectThat(caller.readResponse()).isNotNull().get { status }.isEqualTo(400)
+        }
+    }
+
     /** Guards against a success that no replica gave, from whatever listens at the address of a host. */
     @Test
     fun `a successful response of another host without a replica's signature is not relayed`() {
